--- a/nettleflow/simhost.py
+++ b/gaphub/benchlink.py
@@ -1,4 +1,4 @@
-"""Hosts balancer instances on the simulator's wire: ``python -m nettleflow.simhost``."""
+"""Hosts balancer instances on the simulator's wire: ``python -m gaphub.benchlink``."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from typing import Any, BinaryIO
 
 from . import wire
-from .balance import Balancer
 from .interface import ListedWorker, ListKind, NoteKind, Request
+from .logic import Balancer
 
 
 class Sink:
@@ -204,7 +204,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"simhost: {error}", file=sys.stderr)
+        print(f"benchlink: {error}", file=sys.stderr)
         return 1
     except BrokenPipeError:
         return 1
--- a/nettleflow/interface.py
+++ b/gaphub/interface.py
@@ -1,6 +1,6 @@
 """The whole interface of the decision module: settings, events and actions.
 
-An operator's scheduler makes one ``nettleflow.balance.Balancer`` for each gateway, hands it a
+An operator's scheduler makes one ``gaphub.logic.Balancer`` for each gateway, hands it a
 :class:`Settings`, a seed and an :class:`Actions`, and calls the balancer's event methods, listed in
 :class:`Events`, in the order in which things happen.  The balancer answers only by calling the
 actions.  Every time is in milliseconds, as a float, on one clock that never goes backwards.
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from nettleflow.balance import Balancer
-from nettleflow.interface import ClassSettings, Effect, ListedWorker, ListKind, Request, Settings, Status
+from gaphub.interface import ClassSettings, Effect, ListedWorker, ListKind, Request, Settings, Status
+from gaphub.logic import Balancer
 
 SAFE = ClassSettings(aim_ms=300.0, deadline_ms=5000.0, aim_stretch=2.0)
 UNSAFE = ClassSettings(aim_ms=300.0, deadline_ms=5000.0, effect=Effect.UNSAFE)
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from nettleflow.balance import JobType, Worker
-from nettleflow.interface import ClassSettings, ListKind, Status
+from gaphub.interface import ClassSettings, ListKind, Status
+from gaphub.logic import JobType, Worker
 from tests.fake import SAFE, World, entry
 
 REPORTS = ("latency_ms", "inflight", "free_slots", "free_memory")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -42,14 +42,14 @@
 
 
 def test_the_module_acts_on_no_name() -> None:
-    text = (ROOT / "nettleflow/balance.py").read_text()
+    text = (ROOT / "gaphub/logic.py").read_text()
     for word in WORDS:
         assert word.lower() not in text.lower(), word
     assert not re.search(r"\.name\b", text)
 
 
 def test_the_module_has_no_clock_io_threads_or_globals() -> None:
-    text = (ROOT / "nettleflow/balance.py").read_text()
+    text = (ROOT / "gaphub/logic.py").read_text()
     imports = set(re.findall(r"^(?:from|import) (\S+)", text, re.M))
     assert imports <= {"__future__", "random", "collections.abc", "heapq", "math", ".interface"}
     assert not re.search(r"\b(global|print|open\(|id\()", text)
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -7,8 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from nettleflow.balance import Balancer
-from nettleflow.interface import (
+from gaphub.interface import (
     NEVER_RAN,
     ClassSettings,
     Effect,
@@ -19,6 +18,7 @@
     Settings,
     Status,
 )
+from gaphub.logic import Balancer
 from tests.fake import Recorder, entry
 
 CLASSES = (
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from nettleflow.interface import ClassSettings, Effect, Group, ListKind, Status, WorkerState
+from gaphub.interface import ClassSettings, Effect, Group, ListKind, Status, WorkerState
 from tests.fake import KEYED, SAFE, UNSAFE, World, entry
 
 
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from nettleflow.interface import ClassSettings, Settings, Status, TenantSettings
+from gaphub.interface import ClassSettings, Settings, Status, TenantSettings
 from tests.fake import SAFE, UNSAFE, World, entry
 
 REPORTS = ("latency_ms", "inflight", "free_slots", "free_memory")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,9 +14,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from nettleflow import simhost, wire
-from nettleflow.balance import Balancer
-from nettleflow.interface import Effect, ListedWorker
+from gaphub import benchlink, wire
+from gaphub.interface import Effect, ListedWorker
+from gaphub.logic import Balancer
 
 
 def frame(number: int, now: float, records: list[bytes], tail: bytes = b"") -> bytes:
@@ -64,7 +64,7 @@
 
 def talk(data: bytes) -> list[tuple[int, list[bytes], bytes]]:
     out = io.BytesIO()
-    simhost.serve(io.BytesIO(data), out)
+    benchlink.serve(io.BytesIO(data), out)
     return replies(out.getvalue())
 
 
@@ -80,7 +80,7 @@
 
 def test_the_documented_empty_batch_and_its_answer() -> None:
     out = io.BytesIO()
-    simhost.serve(io.BytesIO(bytes.fromhex("00000001 00000014 00000000 40c06e2000000000")), out)
+    benchlink.serve(io.BytesIO(bytes.fromhex("00000001 00000014 00000000 40c06e2000000000")), out)
     assert out.getvalue() == bytes.fromhex("00000001 0000000c 00000000")
 
 
@@ -130,8 +130,8 @@
 
 
 def test_the_documented_actions() -> None:
-    host = simhost.Host()
-    sink = simhost.Sink(3, host)
+    host = benchlink.Host()
+    sink = benchlink.Sink(3, host)
     sink.send(0x4828A5D3A91C4, 0x03124A07, 80.0)
     sink.set_timer(500.0, 77)
     sink.log("two servers known")
@@ -146,8 +146,8 @@
 
 
 def test_every_action_record_has_its_size_and_code() -> None:
-    host = simhost.Host()
-    sink = simhost.Sink(1, host)
+    host = benchlink.Host()
+    sink = benchlink.Sink(1, host)
     sink.refuse(1, 5.0)
     sink.fail(1)
     sink.cancel(1, 2)
@@ -248,7 +248,7 @@
 
 def run(data: bytes, seed: str = "0") -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "nettleflow.simhost"],
+        [sys.executable, "-m", "gaphub.benchlink"],
         input=data,
         capture_output=True,
         check=False,
