--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -1,26 +1,62 @@
-"""Starts the real scheduler; for now it says that it is ready and turns every job away (fail-fast)."""
+"""Starts and ends the real scheduler: wires the parts, listens, and shuts down.
+
+It owns the order of start and end and nothing else; it must never decide or parse anything.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
-
-READY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-
-
-async def _inbound(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    head = await reader.readuntil(b"\r\n\r\n")
-    writer.write(READY if head.startswith(b"GET /-/ready ") else REFUSED)
-    await writer.drain()
-    writer.close()
-
-
-async def _serve() -> None:
-    host, _, port = os.environ["LB_LISTEN"].rpartition(":")
-    server = await asyncio.start_server(_inbound, host, int(port))
-    await server.serve_forever()
+import signal
+import sys
+
+from .config import Config, ConfigError, load
+from .core import Clock, Core, Tasks
+from .metrics import Counters
+from .net.destinations import SOURCE, DestinationSet
+from .net.http import Inbound, Outbound
+
+
+async def serve(config: Config, counters: Counters) -> None:
+    """Serve until SIGTERM or SIGINT, then answer all that was taken."""
+    core = Core(config.settings, config.seed, Clock(), counters)
+    outbound = Outbound(config, core, counters)
+    inbound = Inbound(config, core, counters)
+    destinations = DestinationSet(config, core, counters)
+    core.ports[SOURCE] = outbound
+    core.list_port = destinations
+    destinations.start_from_known()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    actors = Tasks(counters)
+    try:
+        await inbound.open()
+        for part in (core, outbound, destinations):
+            actors.start(part.run())
+        inbound.ready = True
+        await stop.wait()
+        await inbound.leave()
+    finally:
+        await inbound.close()
+        await actors.close()
+        await outbound.close()
+        print("gaphub: at exit:", *(f"{k}={v}" for k, v in counters.snapshot().items()), file=sys.stderr)
+
+
+def main() -> int:
+    """Run; 2 if the configuration cannot be used."""
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"gaphub: configuration: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    gc.set_threshold(50_000, 50, 50)
+    asyncio.run(serve(config, Counters()))
+    return 0
 
 
 if __name__ == "__main__":
-    asyncio.run(_serve())
+    sys.exit(main())
--- a/gaphub/benchlink.py
+++ b/gaphub/benchlink.py
@@ -7,6 +7,7 @@
 from typing import Any, BinaryIO
 
 from . import wire
+from .config import parse_settings
 from .interface import ListedWorker, ListKind, NoteKind, Request
 from .logic import Balancer
 
@@ -132,7 +133,7 @@
         sink = Sink(inst, self)
         self.sinks[inst] = sink
         try:
-            settings = wire.parse_settings(frame.tail(start, size))
+            settings = parse_settings(frame.tail(start, size))
             self.instances[inst] = Balancer(frame.now, settings, seed, sink)
         except (ValueError, TypeError, KeyError) as error:
             self._fault(inst, wire.ATTACH, error)
--- /dev/null
+++ b/gaphub/config.py
@@ -0,0 +1,286 @@
+"""Owns the reading of all configuration: ``LB_*``, the file at ``LB_CONFIG`` and the files under ``deploy/``.
+
+It is the one place that checks keys and gives defaults, and the one place that knows how the wire spells
+the module's ``Settings``; ``run`` and ``sim`` both decode through it.  It must never open a socket, never
+keep state, and never let a faulty key pass: every fault ends in a ``ConfigError`` that names the key.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from .interface import Effect, Group, Settings
+
+FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
+Address = tuple[str, int]
+T = TypeVar("T")
+
+
+class ConfigError(ValueError):
+    """Configuration that cannot be used; the text names the faulty key."""
+
+
+# --- how the wire spells the settings ------------------------------------------------------------
+
+# Key on the wire: field of Settings.
+_KEYS = {
+    "balancers": "balancers", "me": "me", "zone": "zone", "tick": "tick_ms",
+    "overShareWorth": "over_share_worth",
+    "rules.askEvery": "ask_within_ms", "rules.answerSlack": "answer_slack_ms",
+    "rules.drainGrace": "drain_grace_ms", "rules.fallMultiple": "fall_multiple", "rules.fall": "fall_ms",
+    "rules.startCapacity": "cold_from", "rules.warmAfter": "cold_ms",
+    "limits.mostTries": "max_attempts", "limits.maxOpen": "max_open",
+    "limits.maxRetryAfter": "max_retry_after_ms", "limits.cancel": "may_cancel",
+    "limits.probes": "may_probe", "limits.peerMessages": "may_tell_peers",
+    "limits.secondCopies": "second_copies", "limits.retryAfter": "retry_after",
+    "limits.dialTimeout": "connect_timeout_ms", "limits.cpuUsPerRequest": "cpu_us_per_request",
+    "limits.cpuUsPerS": "cpu_us_per_s", "callers.marksRetry": "marks_retry",
+    "familyInfo.tellsStart": "tells_start", "familyInfo.progress": "progress_ms",
+    "familyInfo.queueOrder": "queue_order",
+}
+_CLASS_KEYS = {
+    "slo": "aim_ms", "deadline": "deadline_ms", "credit": "worth", "lateWorth": "late_worth",
+    "idempotency": "effect", "group": "group", "window": "window_ms", "streamed": "streamed",
+    "aimStretch": "aim_stretch",
+}
+_CLASS_LISTS = {"classStretch": "aim_stretch", "classKind": "kind", "classPriority": "priority"}
+_TENANT_KEYS = {"quotaPerS": "quota_per_s", "share": "share"}
+_PRICES = {"crossZone": "cross_zone", "lateFail": "late_fail", "registryMode": "discovery"}
+_REPORTS = {"free slots": "free_slots", "free memory": "free_memory"}
+_EFFECTS = {"idempotent": Effect.SAFE, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
+_GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+_LISTS = {"classes": ("grades", _CLASS_KEYS), "tenants": ("tenants", _TENANT_KEYS)}
+
+
+def _object(value: Any, key: str) -> Mapping[str, Any]:
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: not an object")
+    return value
+
+
+def _objects(value: Any, key: str) -> list[Mapping[str, Any]]:
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise ConfigError(f"{key}: not a list")
+    return [_object(v, f"{key}[{i}]") for i, v in enumerate(value)]
+
+
+def _word(table: Mapping[str, Any], word: object, key: str) -> Any:
+    if not isinstance(word, str) or word not in table:
+        raise ConfigError(f"{key}: {word!r} is none of {', '.join(table)}")
+    return table[word]
+
+
+def _renamed(source: Mapping[str, Any], keys: Mapping[str, str]) -> dict[str, Any]:
+    return {field: source[key] for key, field in keys.items() if source.get(key) is not None}
+
+
+def _wire_key(text: str) -> str:
+    """A msgspec message, its path spelled as on the wire."""
+    found = re.fullmatch(r"(.*?) - at `\$\.?(.*)`", text, re.S)
+    if not found:
+        return text
+    what, path = found.groups()
+    fields = {field: key for key, field in _KEYS.items()}
+    listed = re.fullmatch(r"(classes|tenants)\[(\d*|\.\.\.)\]\.(\w+)", path)
+    if listed:
+        wire, keys = _LISTS[listed[1]]
+        path = f"{wire}[{listed[2]}]." + {f: k for k, f in keys.items()}.get(listed[3], listed[3])
+    return f"{fields.get(path, path)}: {what}"
+
+
+def read_settings(raw: Any) -> Settings:
+    """The module's settings from the decoded object.  Unknown keys are skipped, absent ones get defaults."""
+    if not isinstance(raw, dict):
+        raise ConfigError("params: not an object")
+    values: dict[str, Any] = {}
+    for key, field in _KEYS.items():
+        source: Any = raw
+        for part in key.split("."):
+            source = _object(source, key.rpartition(".")[0] or key).get(part)
+        if source is not None:
+            values[field] = source
+    family = _object(raw.get("familyInfo"), "familyInfo")
+    grades = _objects(raw.get("grades"), "grades")
+    if not grades:
+        raise ConfigError("grades: missing or empty")
+    classes = []
+    for i, grade in enumerate(grades):
+        for key in ("slo", "deadline"):
+            if grade.get(key) is None:
+                raise ConfigError(f"grades[{i}].{key}: missing")
+        one = _renamed(grade, _CLASS_KEYS)
+        one["effect"] = _word(_EFFECTS, grade.get("idempotency", "at_most_once"), f"grades[{i}].idempotency")
+        one["group"] = _word(_GROUPS, grade.get("group", "all"), f"grades[{i}].group")
+        for key, field in _CLASS_LISTS.items():
+            listed = family.get(key)
+            if isinstance(listed, list) and i < len(listed):
+                one[field] = listed[i]
+        classes.append(one)
+    report = _object(raw.get("report"), "report")
+    prices = _object(raw.get("deductions"), "deductions")
+    values |= {
+        "classes": classes,
+        "tenants": [_renamed(t, _TENANT_KEYS) for t in _objects(raw.get("tenants"), "tenants")],
+        "zones": max(1, len(raw.get("zones") or ())),
+        "kinds": max(1, len(raw.get("models") or ())),
+        "worth_by_work": raw.get("valueBy", "request") == "work",
+        "must_ask": raw.get("registryMode", "automatic") == "subscribe",
+        "report_fields": [_report_name(f, family) for f in report.get("fields") or ()],
+        "reports_in_answers": report.get("via", "off") == "inline",
+        "reports_in_probes": report.get("via", "off") == "on_probe",
+        "prices": {_PRICES.get(k, k): v for k, v in prices.items()},
+    }
+    try:
+        return msgspec.convert(values, Settings)
+    except msgspec.ValidationError as error:
+        raise ConfigError(_wire_key(str(error))) from None
+
+
+def _report_name(name: str, family: Mapping[str, Any]) -> str:
+    meaning = family.get({"x0": "reportX0", "x1": "reportX1"}.get(name, ""), name)
+    return _REPORTS.get(meaning, name)
+
+
+def parse_settings(text: bytes) -> Settings:
+    """The settings of one instance, from JSON."""
+    return read_settings(msgspec.json.decode(text))
+
+
+# --- discovery's list ------------------------------------------------------------------------------
+
+class ListedEntry(msgspec.Struct, frozen=True):
+    """One worker as discovery spells it."""
+
+    id: str
+    addr: str
+    state: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    started_ms: float = 0.0
+
+
+class DestinationList(msgspec.Struct, frozen=True):
+    """What discovery answers: the whole list, or what changed since a version."""
+
+    version: int = 0
+    full: bool = True
+    servers: list[ListedEntry] = []
+
+
+# --- the scheduler's own file ----------------------------------------------------------------------
+
+class Limits(msgspec.Struct, frozen=True):
+    """What the machine allows."""
+
+    cores: float = 1.0
+    memory_mb: float = 192
+    sockets: int = 1024
+
+
+class _File(msgspec.Struct, frozen=True):
+    """The file at ``LB_CONFIG``."""
+
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = "0"
+    limits: Limits = Limits()
+    peer_listen: str = ""
+    peers: list[str] = []
+    peers_all: str = ""
+    known: DestinationList = DestinationList()
+    settings: dict[str, Any] = {}
+
+
+class Fronts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The file ``deploy/fronts.toml``."""
+
+
+class Config(msgspec.Struct, frozen=True):
+    """All that a scheduler is told, checked."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    limits: Limits
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: DestinationList
+    settings: Settings
+    class_names: tuple[str, ...]
+    zones: tuple[str, ...]
+    models: tuple[str, ...]
+    report_fields: tuple[str, ...]  # as reports spell them, in the order of Settings.report_fields
+    conn_idle_ms: float
+    fronts: Fronts
+
+
+def address(text: str, key: str) -> Address:
+    """``host:port`` as a pair."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: {text!r} is not host:port")
+    return host, int(port)
+
+
+def _decode(data: bytes, type_: type[T], where: str, toml: bool = False) -> T:
+    try:
+        return msgspec.toml.decode(data, type=type_) if toml else msgspec.json.decode(data, type=type_)
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"{where}: {_wire_key(str(error))}") from None
+
+
+def _read(path: str | Path, key: str) -> bytes:
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"{key}: {path}: {error.strerror}") from None
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """The whole configuration; ConfigError names what is wrong with it."""
+    if not env.get("LB_CONFIG"):
+        raise ConfigError("LB_CONFIG: missing")
+    file = _decode(_read(env["LB_CONFIG"], "LB_CONFIG"), _File, "LB_CONFIG")
+    raw = file.settings
+    settings = read_settings(raw)
+    if not re.fullmatch(r"[0-9a-fA-F]{1,32}", file.seed):
+        raise ConfigError(f"seed: {file.seed!r} is not a hexadecimal number")
+    names = [str(g.get("name", "")) for g in raw["grades"]]
+    if len(set(names)) < len(names) or "" in names:
+        raise ConfigError("grades: each needs a name of its own")
+    idle = _object(raw.get("limits"), "limits").get("connIdle", 60_000.0)
+    if not isinstance(idle, int | float) or idle <= 0:
+        raise ConfigError(f"limits.connIdle: {idle!r} is not a time")
+    fronts = env.get("LB_FRONTS") or str(FRONTS)
+    return Config(
+        name=env.get("LB_NAME") or file.name,
+        listen=address(env.get("LB_LISTEN") or file.listen, "LB_LISTEN"),
+        discovery=address(env.get("LB_DISCOVERY") or file.discovery, "LB_DISCOVERY"),
+        seed=int(file.seed, 16),
+        limits=file.limits,
+        peer_listen=address(file.peer_listen, "peer_listen") if file.peer_listen else None,
+        peers=tuple(address(p, f"peers[{i}]") for i, p in enumerate(file.peers)),
+        peers_all=address(file.peers_all, "peers_all") if file.peers_all else None,
+        known=file.known,
+        settings=settings,
+        class_names=tuple(names),
+        zones=tuple(map(str, raw.get("zones") or ())),
+        models=tuple(map(str, raw.get("models") or ())),
+        report_fields=tuple(map(str, _object(raw.get("report"), "report").get("fields") or ())),
+        conn_idle_ms=float(idle),
+        fronts=_decode(_read(fronts, "LB_FRONTS"), Fronts, "LB_FRONTS", toml=True),
+    )
--- /dev/null
+++ b/gaphub/core.py
@@ -0,0 +1,518 @@
+"""The module's actor: owns the Balancer, the clock, the timers, the destinations and the request table.
+
+It turns events into calls on the Balancer and the Balancer's actions into calls on ports.  It knows no
+wire and must never import a front.  Every request that it takes gets one final answer by its deadline,
+whatever the Balancer or a port raises, and no action of the Balancer can break the rules on attempts:
+``_allowed`` is asked before every outbound call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+from typing import Any, Protocol
+
+from .interface import (
+    NEVER_RAN,
+    Effect,
+    ListedWorker,
+    ListKind,
+    Request,
+    Settings,
+    Status,
+    WorkerState,
+)
+from .logic import Balancer
+from .metrics import Counters
+
+MAILBOX = 4096  # messages; requests past it are refused, everything else waits for room
+MOST_ATTEMPTS = 4  # a bound of the platform, whatever the settings say
+EARLY_MS = 2.0  # the watchdog answers this long before a deadline that the Balancer let come
+
+
+class Clock:
+    """Milliseconds that never go back and agree with Unix time, so that start times need no mapping."""
+
+    def __init__(self) -> None:
+        self._base = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def now(self) -> float:
+        """The time now."""
+        return self._base + time.monotonic() * 1000.0
+
+
+class Tasks:
+    """Owns the tasks of one part; ``close`` is where all of them are given back."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a coroutine as a task of this owner."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._counters.log("task_failed", repr(error))
+
+    async def close(self) -> None:
+        """Cancel what still runs and wait for its end."""
+        while self._tasks:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.wait(self._tasks)
+
+
+class Ending(Enum):
+    """The final answer of a request."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Answer:
+    """A final answer on its way to the front that took the request."""
+
+    ending: Ending
+    body: bytes = b""
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Job:
+    """A request as a front took it; ``reply`` is called once with the final answer."""
+
+    ident: str
+    class_index: int
+    received_at: float
+    left_ms: float
+    reply: Callable[[Answer], None]
+    body: bytes = b""
+    method: str = "POST"
+    target: str = "/api"
+    key: int = 0
+    slots: float = 1.0
+    memory: float = 0.0
+    is_retry: bool = False
+    number: int = 0
+    ends: float = 0.0
+    answered: bool = False
+    calls: list[Call] = field(default_factory=list)
+    open_calls: int = 0
+
+
+@dataclass(slots=True)
+class Listed:
+    """One destination as a source of the destination set names it."""
+
+    name: str
+    addr: str
+    state: int
+    kind: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    zone: int = 0
+    started_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Destination:
+    """A worker that may be called, and the port that reaches it."""
+
+    number: int
+    source: str
+    listed: Listed
+
+
+@dataclass(slots=True)
+class Call:
+    """One attempt.  ``over`` is set by its port when the outcome is fixed."""
+
+    job: Job
+    index: int
+    destination: Destination
+    sent_at: float
+    ends: float
+    over: bool = False
+    status: Status | None = None
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a call ended."""
+
+    status: Status
+    body: bytes = b""
+    report: tuple[float, ...] = ()
+
+
+class CallPort(Protocol):
+    """What reaches the destinations of one source."""
+
+    def start(self, call: Call) -> None:
+        """Begin a call; ``Core.ended`` must follow once."""
+
+    def cancel(self, call: Call) -> None:
+        """Stop waiting for a call and close its connection."""
+
+    def probe(self, destination: Destination) -> None:
+        """Check a destination; ``Core.probed`` must follow once."""
+
+    def close_idle(self, destination: Destination) -> None:
+        """Close idle connections."""
+
+    def forget(self, destination: Destination) -> None:
+        """The destination is gone or restarted: its idle connections are of no use."""
+
+
+class ListPort(Protocol):
+    """What asks discovery for more than it says by itself."""
+
+    def watch(self, on: bool) -> None:
+        """Follow changes, or stop."""
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
+
+
+class PeerPort(Protocol):
+    """What reaches the other schedulers."""
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Send a datagram to one peer, or all (-1)."""
+
+
+class Core:
+    """The actor.  Fronts and ports reach it by ``offer`` and ``post`` only."""
+
+    def __init__(self, settings: Settings, seed: int, clock: Clock, counters: Counters) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.counters = counters
+        self.ports: dict[str, CallPort] = {}
+        self.list_port: ListPort | None = None
+        self.peer_port: PeerPort | None = None
+        self._box: asyncio.Queue[Callable[[], None]] = asyncio.Queue(MAILBOX)
+        self._later: deque[Callable[[], None]] = deque()  # what actions owe the Balancer, after its call
+        self._timers: list[tuple[float, int, int]] = []
+        self._deadlines: list[tuple[float, int]] = []
+        self._serial = 0
+        self._jobs: dict[int, Job] = {}
+        self._numbers: dict[tuple[str, str], int] = {}
+        self._destinations: dict[int, Destination] = {}
+        self._next_destination = 1
+        self.balancer = Balancer(clock.now(), settings, seed, self)
+
+    # -- the mailbox --
+
+    async def post(self, message: Callable[[], None]) -> None:
+        """Hand a message over; waits while the mailbox is full."""
+        await self._box.put(message)
+
+    def offer(self, job: Job) -> bool:
+        """Hand a request over; False if the mailbox or the request table is full (fail-fast)."""
+        if len(self._jobs) >= self.settings.max_open or self._box.full():
+            self.counters.add("requests.fail_fast")
+            return False
+        self._box.put_nowait(lambda: self._take(job))
+        return True
+
+    @property
+    def open_jobs(self) -> int:
+        """Requests taken that still owe an answer or have a call out."""
+        return len(self._jobs) + self._box.qsize()
+
+    async def run(self) -> None:
+        """Handle messages, timers and deadlines, one at a time, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            message: Callable[[], None] | None = None
+            due = min(self._timers[0][0] if self._timers else 1e18,
+                      self._deadlines[0][0] if self._deadlines else 1e18)
+            try:
+                message = self._box.get_nowait()
+            except asyncio.QueueEmpty:
+                wait = (due - self.clock.now()) / 1000.0
+                if wait > 0:
+                    try:
+                        async with asyncio.timeout_at(loop.time() + min(wait, 3600.0)):
+                            message = await self._box.get()
+                    except TimeoutError:
+                        pass
+            if message is not None:
+                self._guard(message)
+            self._ring()
+
+    def _guard(self, work: Callable[[], None]) -> bool:
+        """Do something that may raise; whatever it raises ends here, then pay what actions owe."""
+        sound = True
+        todo: Callable[[], None] | None = work
+        while todo is not None:
+            try:
+                todo()
+            except Exception as error:  # one request's failure must not end the others
+                sound = False
+                self.counters.log("core_failed", repr(error))
+            todo = self._later.popleft() if self._later else None
+        return sound
+
+    def _ring(self) -> None:
+        now = self.clock.now()
+        while self._timers and self._timers[0][0] <= now:
+            token = heappop(self._timers)[2]
+            self._guard(lambda token=token: self.balancer.on_timer(now, token))  # type: ignore[misc]
+        while self._deadlines and self._deadlines[0][0] <= now:
+            job = self._jobs.get(heappop(self._deadlines)[1])
+            if job is not None and not job.answered:
+                # Guards against a Balancer that raised or forgot: the client is owed an answer now.
+                self.counters.log("answered_by_watchdog", job.ident)
+                self._give_up(job)
+
+    # -- requests --
+
+    def _take(self, job: Job) -> None:
+        now = self.clock.now()
+        self.counters.add("requests.taken")
+        job.ends = job.received_at + job.left_ms
+        self._serial += 1
+        job.number = self._serial
+        self._jobs[job.number] = job
+        if job.ends - now <= EARLY_MS:
+            self._answer(job, Answer(Ending.REFUSED))
+            self._settle(job)
+            return
+        heappush(self._deadlines, (job.ends - EARLY_MS, job.number))
+        request = Request(job.number, job.class_index, job.ends - now, 0, job.key, 0.0, job.slots,
+                          job.memory, job.is_retry)
+        if not self._guard(lambda: self.balancer.on_request(now, request)) and not job.open_calls:
+            self._give_up(job)
+
+    def gone(self, job: Job) -> None:
+        """The client left; nothing is owed any more."""
+        if not job.answered:
+            self.counters.add("requests.client_gone")
+            self._drop(job)
+
+    def _drop(self, job: Job) -> None:
+        """No answer is owed: the Balancer calls off what is out."""
+        job.answered = True
+        self._guard(lambda: self.balancer.on_client_gone(self.clock.now(), job.number))
+        self._settle(job)
+
+    def _give_up(self, job: Job) -> None:
+        """The core's own final answer, where the Balancer gave none."""
+        self._answer(job, Answer(Ending.REFUSED if self._harmless(job) else Ending.FAILED))
+        self._drop(job)
+
+    def _answer(self, job: Job, answer: Answer) -> None:
+        if job.answered:
+            return
+        job.answered = True
+        self.counters.add(f"requests.{answer.ending.value}")
+        try:
+            job.reply(answer)
+        except Exception as error:  # a front that fails must not stop the core
+            self.counters.log("reply_failed", repr(error))
+
+    def _settle(self, job: Job) -> None:
+        if job.answered and not job.open_calls:
+            self._jobs.pop(job.number, None)
+
+    def _harmless(self, job: Job) -> bool:
+        """Whether trying the request again would do no harm."""
+        if self.settings.classes[job.class_index].effect == Effect.SAFE:
+            return True
+        return all(c.status in NEVER_RAN for c in job.calls)
+
+    # -- calls --
+
+    def started(self, call: Call) -> None:
+        """A worker began a call."""
+        self.balancer.on_started(self.clock.now(), call.job.number, call.index)
+
+    def progressed(self, call: Call, share: float) -> None:
+        """A share of a call is done."""
+        self.balancer.on_progress(self.clock.now(), call.job.number, call.index, share)
+
+    def ended(self, call: Call, outcome: Outcome) -> None:
+        """A call ended; the first that is served is the request's answer."""
+        job = call.job
+        if call.status is not None:
+            return
+        call.status = outcome.status
+        job.open_calls -= 1
+        now = self.clock.now()
+        self.counters.add(f"calls.{outcome.status.name.lower()}")
+        if outcome.status == Status.OK:
+            self._answer(job, Answer(Ending.SERVED, outcome.body))
+        sound = self._guard(lambda: self.balancer.on_outcome(
+            now, job.number, call.index, outcome.status, now - call.sent_at, job.answered, outcome.report))
+        if not sound and not job.answered and not job.open_calls:
+            self._give_up(job)
+        self._settle(job)
+
+    def _allowed(self, job: Job, worker: int, now: float) -> Destination | None:
+        """The rules on attempts, whoever decides: the destination, or None where a call would break one."""
+        destination = self._destinations.get(worker)
+        if destination is None or destination.listed.state != WorkerState.READY:
+            return None
+        if job.answered or job.open_calls or now >= job.ends:
+            return None
+        if len(job.calls) >= min(MOST_ATTEMPTS, self.settings.max_attempts):
+            return None
+        effect = self.settings.classes[job.class_index].effect
+        if effect == Effect.UNSAFE and not all(c.status in NEVER_RAN for c in job.calls):
+            return None
+        return destination
+
+    # -- the Balancer's actions --
+
+    def send(self, request: int, worker: int, timeout_ms: float) -> None:
+        """Start an outbound call."""
+        job = self._jobs.get(request)
+        if job is None:
+            return
+        now = self.clock.now()
+        destination = self._allowed(job, worker, now)
+        if destination is None:
+            self.counters.log("calls.not_allowed", job.ident)
+            index = len(job.calls)
+            self._later.append(lambda: self.balancer.on_outcome(
+                now, request, index, Status.MOOT, 0.0, job.answered, ()))
+            return
+        ends = min(job.ends, now + timeout_ms) if timeout_ms > 0 else job.ends
+        call = Call(job, len(job.calls), destination, now, ends)
+        job.calls.append(call)
+        job.open_calls += 1
+        self.counters.add("calls.sent")
+        try:
+            self.ports[destination.source].start(call)
+        except Exception as error:  # nothing was written: the call could not connect
+            self.counters.log("port_failed", repr(error))
+            self._later.append(lambda: self.ended(call, Outcome(Status.CONNECT_FAILED)))
+
+    def refuse(self, request: int, retry_after_ms: float) -> None:
+        """Final answer: refused.  A refusal that would be untrue is sent as a failure."""
+        job = self._jobs.get(request)
+        if job is not None:
+            ending = Ending.REFUSED if self._harmless(job) else Ending.FAILED
+            self._answer(job, Answer(ending, retry_after_ms=retry_after_ms))
+            self._settle(job)
+
+    def fail(self, request: int) -> None:
+        """Final answer: failed."""
+        job = self._jobs.get(request)
+        if job is not None:
+            self._answer(job, Answer(Ending.FAILED))
+            self._settle(job)
+
+    def cancel(self, request: int, attempt: int) -> None:
+        """Stop waiting for a call."""
+        job = self._jobs.get(request)
+        if job is not None and 0 <= attempt < len(job.calls):
+            call = job.calls[attempt]
+            if call.status is None:
+                self.ports[call.destination.source].cancel(call)
+
+    def set_timer(self, delay_ms: float, token: int) -> None:
+        """Ask for a timer event."""
+        self._serial += 1
+        heappush(self._timers, (self.clock.now() + delay_ms, self._serial, token))
+
+    def probe(self, worker: int) -> None:
+        """Check a destination."""
+        destination = self._destinations.get(worker)
+        if destination is None:
+            self._later.append(lambda: self.balancer.on_probe_result(
+                self.clock.now(), worker, Status.CONNECT_FAILED, 0.0, ()))
+            return
+        self.counters.add("probes.sent")
+        self.ports[destination.source].probe(destination)
+
+    def probed(self, destination: Destination, status: Status, took_ms: float,
+               report: tuple[float, ...]) -> None:
+        """A probe ended."""
+        self.counters.add(f"probes.{status.name.lower()}")
+        self.balancer.on_probe_result(self.clock.now(), destination.number, status, took_ms, report)
+
+    def close_idle(self, worker: int) -> None:
+        """Close idle connections to a destination."""
+        if destination := self._destinations.get(worker):
+            self.ports[destination.source].close_idle(destination)
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Send a datagram to a peer, or all (-1)."""
+        if self.peer_port is not None:
+            self.peer_port.tell(peer, data)
+
+    def log(self, text: str) -> None:
+        """Add a line to the log."""
+        self.counters.log("logic", text)
+
+    def watch(self, on: bool) -> None:
+        """Ask discovery for changes, or stop."""
+        if self.list_port is not None:
+            self.list_port.watch(on)
+
+    def fetch(self) -> None:
+        """Ask discovery for the whole list."""
+        if self.list_port is not None:
+            self.list_port.fetch()
+
+    # -- the destination set and the peers --
+
+    def listed(self, source: str, kind: int, entries: Sequence[Listed]) -> None:
+        """A source named destinations; FULL and CACHED name all of that source's."""
+        named = {e.name for e in entries}
+        known = {name for s, name in self._numbers if s == source}
+        changes = list(entries)
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            changes += [Listed(n, "", WorkerState.GONE) for n in sorted(known - named)]
+        told = [self._follow(source, e) for e in changes if e.state != WorkerState.GONE or e.name in known]
+        others = any(s != source for s, _ in self._numbers)
+        if kind in (ListKind.FULL, ListKind.CACHED) and others:
+            kind = ListKind.CHANGES  # the Balancer must not drop what other sources named
+        if kind != ListKind.CHANGES:
+            told = [t for t in told if t.state != WorkerState.GONE]
+        self.counters.add("lists.taken")
+        self.balancer.on_workers(self.clock.now(), kind, told)
+
+    def _follow(self, source: str, entry: Listed) -> ListedWorker:
+        key = (source, entry.name)
+        number = self._numbers.get(key)
+        if number is None:
+            number = self._numbers[key] = self._next_destination
+            self._next_destination += 1
+        known = self._destinations.get(number)
+        if known is None:
+            known = self._destinations[number] = Destination(number, source, entry)
+        elif entry.state == WorkerState.GONE or (entry.addr, entry.started_ms) != (
+                known.listed.addr, known.listed.started_ms):
+            self.ports[source].forget(known)
+        if entry.state == WorkerState.GONE:
+            known.listed.state = WorkerState.GONE
+            del self._numbers[key], self._destinations[number]
+        else:
+            known.listed = entry
+        return ListedWorker(entry.state, entry.kind, entry.cell, entry.weight, entry.zone, number,
+                            entry.started_ms)
+
+    def list_failed(self) -> None:
+        """A call to discovery failed."""
+        self.balancer.on_workers(self.clock.now(), ListKind.FAILED, ())
+
+    def peer_said(self, sender: int, data: bytes) -> None:
+        """A datagram from a peer."""
+        self.balancer.on_peer(self.clock.now(), sender, data)
--- /dev/null
+++ b/gaphub/net/__init__.py
@@ -0,0 +1,1 @@
+"""The wires of gaphub: everything that opens a socket."""
--- /dev/null
+++ b/gaphub/net/destinations.py
@@ -0,0 +1,126 @@
+"""Owns the destination set: the calls to discovery's agent, and the watch.
+
+It tells the core what the list says and nothing else.  It must never send to a worker, never hold back a
+change, and never let a garbled answer end the watch.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+import msgspec
+
+from ..config import Config, DestinationList, ListedEntry
+from ..core import Core, Listed
+from ..interface import ListKind, WorkerState
+from ..metrics import Counters
+from .http import ConnectionLostError, NeverWrittenError, Wire
+
+WATCH_MS = 20_000
+SILENT_S = 3.0  # past the wait, without an answer: the agent is silent and the call is begun again
+CALL_S = 2.0  # for a call that may not wait
+AGAIN_S = 0.1  # after a failed call, doubling up to the next
+AGAIN_MOST_S = 2.0
+SOURCE = "discovery"
+_STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
+
+
+class DestinationSet:
+    """The actor of the list; its mailbox takes what the core asks for."""
+
+    def __init__(self, config: Config, core: Core, counters: Counters) -> None:
+        self.core = core
+        self.counters = counters
+        self.agent = config.discovery
+        self.zones = {name: i for i, name in enumerate(config.zones)}
+        self.models = {name: i for i, name in enumerate(config.models)}
+        self.known = config.known
+        self.version = config.known.version
+        self.following = not config.settings.must_ask
+        self._asked: asyncio.Queue[str] = asyncio.Queue(8)
+        self._wire: Wire | None = None
+
+    # -- what the core asks --
+
+    def watch(self, on: bool) -> None:
+        """Follow changes, or stop."""
+        self._ask("follow" if on else "stop")
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
+        self._ask("fetch")
+
+    def _ask(self, what: str) -> None:
+        if self._asked.full():
+            self.counters.add("lists.asks_dropped")
+        else:
+            self._asked.put_nowait(what)
+
+    # -- the actor --
+
+    def start_from_known(self) -> None:
+        """Tell the core the list as this scheduler last held it."""
+        self.core.listed(SOURCE, ListKind.CACHED, self._entries(self.known))
+
+    async def run(self) -> None:
+        """Watch for ever; a failure is told, waited out and never ends the actor."""
+        pause = AGAIN_S
+        whole = False
+        try:
+            while True:
+                while not self._asked.empty() or not (self.following or whole):
+                    what = await self._asked.get()
+                    whole = whole or what == "fetch"
+                    self.following = what == "follow" if what != "fetch" else self.following
+                try:
+                    await self._call(whole)
+                    pause, whole = AGAIN_S, False
+                except (ConnectionLostError, NeverWrittenError, TimeoutError, h11.ProtocolError) as error:
+                    self._drop()
+                    self.counters.log("lists.failed", repr(error))
+                    if self.core.settings.must_ask:
+                        self.following = False  # the module asks again in its own time
+                        await self.core.post(self.core.list_failed)
+                    await asyncio.sleep(pause)
+                    pause = min(AGAIN_MOST_S, pause * 2)
+        finally:
+            self._drop()
+
+    def _drop(self) -> None:
+        if self._wire is not None:
+            self._wire.close()
+            self._wire = None
+
+    async def _call(self, whole: bool) -> None:
+        """One call and the list it brought."""
+        target = "/api/targets" if whole else f"/api/targets?index={self.version}&wait={WATCH_MS}"
+        async with asyncio.timeout(CALL_S if whole else WATCH_MS / 1000.0 + SILENT_S):
+            if self._wire is None or not self._wire.reusable:
+                self._drop()
+                self._wire = await Wire.connect(self.agent, CALL_S)
+            await self._wire.send("GET", target, [("Host", f"{self.agent[0]}:{self.agent[1]}")], b"")
+            event = await self._wire.event()
+            body = await self._wire.body(16 * 1024 * 1024)
+        if event.status_code != 200:
+            raise ConnectionLostError(f"answered {event.status_code}")
+        try:
+            found = msgspec.json.decode(body, type=DestinationList)
+            entries = self._entries(found)
+        except (msgspec.DecodeError, ValueError) as error:
+            self.counters.log("garbled.list", str(error))
+            await asyncio.sleep(AGAIN_S)
+            return
+        self.version = found.version
+        if entries or found.full:
+            kind = ListKind.FULL if found.full else ListKind.CHANGES
+            await self.core.post(lambda: self.core.listed(SOURCE, kind, entries))
+
+    def _entries(self, found: DestinationList) -> list[Listed]:
+        return [self._entry(e) for e in found.servers]
+
+    def _entry(self, e: ListedEntry) -> Listed:
+        if e.state not in _STATES:
+            raise ValueError(f"{e.id}: unknown state {e.state!r}")
+        return Listed(e.id, e.addr, _STATES[e.state], self.models.get(e.kind, 0), e.cell, e.weight,
+                      self.zones.get(e.zone, 0), e.started_ms)
--- /dev/null
+++ b/gaphub/net/http.py
@@ -0,0 +1,611 @@
+"""Owns every HTTP connection: the inbound ones, and the outbound ones with their pools, calls and probes.
+
+It turns bytes into the core's messages and back.  It must never decide where a request goes, never send
+one a second time by itself, and never call an attempt "never ran" once its last byte was written, unless
+the worker said so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import zlib
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import suppress
+from typing import Any
+
+import h11
+import msgspec
+
+from ..config import Address, Config, address
+from ..core import Answer, Call, Core, Destination, Ending, Job, Outcome, Tasks
+from ..interface import Status
+from ..metrics import Counters
+
+BODY_MOST = 64 * 1024
+LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
+READ = 64 * 1024
+INBOUND_PART = 0.5  # of the descriptors, for clients
+OUTBOUND_PART = 0.4  # and for workers
+PROBE_S = 0.2
+IDLE_PART = 0.5  # of the time after which the worker's machine closes an idle connection
+TAIL_S = 1.0  # for the end of an answer whose result is in
+TRAVEL_MS = 5.0  # what a client's clock may be ahead of ours when its first byte is read
+LINGER_S = 0.45  # after SIGTERM new connections go on coming for so long
+REAP_S = 1.0
+
+
+class ConnectionLostError(Exception):
+    """The connection broke or ended where an answer was owed."""
+
+
+class NeverWrittenError(Exception):
+    """The request's last byte was not written."""
+
+
+class Line(msgspec.Struct):
+    """One line of a worker's answer."""
+
+    state: str
+    id: str = ""
+    share: float = 0.0
+    result: Any = None
+    load: dict[str, float] | None = None
+
+
+_line = msgspec.json.Decoder(Line)
+_load = msgspec.json.Decoder(dict[str, float])
+
+
+def parse_load(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report, as JSON or as ``name=value,...``, in the order of the settings; () if it is none."""
+    try:
+        if text.lstrip().startswith(b"{"):
+            values = _load.decode(text)
+        else:
+            pairs = (p.partition("=") for p in text.decode("ascii").split(",") if p.strip())
+            values = {name.strip(): float(value) for name, _, value in pairs}
+        return tuple(float(values[f]) for f in fields)
+    except (msgspec.DecodeError, ValueError, KeyError):
+        return ()
+
+
+class Wire:
+    """One outbound connection; ``close`` is the one place where it is given back."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+        self.used = False
+        writer.transport.set_write_buffer_limits(high=0)
+
+    @classmethod
+    async def connect(cls, to: Address, within_s: float) -> Wire:
+        """A new connection; ConnectionLostError if it does not come up in time."""
+        try:
+            async with asyncio.timeout(within_s):
+                return cls(*await asyncio.open_connection(*to))
+        except (OSError, TimeoutError) as error:
+            raise ConnectionLostError(str(error)) from None
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be written."""
+        return not (self.reader.at_eof() or self.writer.transport.is_closing())
+
+    async def send(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> None:
+        """Write a whole request; NeverWrittenError if its last byte did not leave."""
+        if self.used:
+            self.http.start_next_cycle()
+        self.used = True
+        head = self.http.send(h11.Request(method=method, target=target, headers=list(headers))) or b""
+        content = self.http.send(h11.Data(data=body)) if body else b""
+        self.http.send(h11.EndOfMessage())
+        if not self.usable:
+            raise NeverWrittenError
+        self.writer.write(head + (content or b""))
+        try:
+            if self.writer.transport.is_closing():
+                raise NeverWrittenError
+            while self.writer.transport.get_write_buffer_size():
+                await self.writer.drain()
+        except OSError:
+            raise NeverWrittenError from None
+
+    async def event(self) -> Any:
+        """The next h11 event of the answer; ConnectionLostError if there will be none."""
+        while True:
+            try:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.http.receive_data(await self.reader.read(READ))
+                    continue
+            except (OSError, h11.RemoteProtocolError) as error:
+                raise ConnectionLostError(str(error)) from None
+            if isinstance(event, h11.ConnectionClosed):
+                raise ConnectionLostError("closed")
+            return event
+
+    async def body(self, most: int = LINE_MOST) -> bytes:
+        """The rest of an answer's body."""
+        parts = bytearray()
+        while not isinstance(event := await self.event(), h11.EndOfMessage):
+            if isinstance(event, h11.Data):
+                parts += event.data
+                if len(parts) > most:
+                    raise ConnectionLostError("answer too long")
+        return bytes(parts)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last exchange ended so that the next may follow."""
+        return self.usable and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+
+    def close(self) -> None:
+        """Close; what was not read is lost."""
+        self.writer.transport.abort()
+
+
+class Pool:
+    """Owns the connections to one destination."""
+
+    def __init__(self, to: Address, owner: Outbound) -> None:
+        self.to = to
+        self.owner = owner
+        self.idle: list[Wire] = []
+
+    async def take(self) -> Wire:
+        """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
+        while self.idle:
+            wire = self.idle.pop()
+            if wire.usable:
+                return wire
+            self.drop(wire)
+        if self.owner.sockets <= 0:
+            self.owner.make_room()
+        if self.owner.sockets <= 0:
+            raise ConnectionLostError("out of sockets")
+        self.owner.sockets -= 1
+        try:
+            wire = await Wire.connect(self.to, self.owner.connect_s)
+        except BaseException:
+            self.owner.sockets += 1
+            raise
+        self.owner.counters.add("connections.outbound")
+        return wire
+
+    def give_back(self, wire: Wire, now: float) -> None:
+        """The one place where a connection comes back: kept if it may be used again."""
+        if wire.reusable and self.owner.pools.get(self.to) is self:
+            wire.idle_since = now
+            self.idle.append(wire)
+        else:
+            self.drop(wire)
+
+    def drop(self, wire: Wire) -> None:
+        """Close a connection."""
+        wire.close()
+        self.owner.sockets += 1
+
+    def close_idle(self, before: float = 1e18) -> None:
+        """Close what has been idle since before a time, and what the other side closed."""
+        old = [w for w in self.idle if w.idle_since < before or not w.usable]
+        self.idle = [w for w in self.idle if w not in old]
+        for wire in old:
+            self.drop(wire)
+
+
+class Outbound:
+    """Calls and probes; the port of the destinations that discovery names."""
+
+    def __init__(self, config: Config, core: Core, counters: Counters) -> None:
+        self.core = core
+        self.counters = counters
+        self.connect_s = config.settings.connect_timeout_ms / 1000.0
+        self.idle_ms = config.conn_idle_ms * IDLE_PART
+        self.sockets = int(config.limits.sockets * OUTBOUND_PART)
+        self.report_fields = config.report_fields
+        self.class_names = config.class_names
+        self.service = f"{config.listen[0]}:{config.listen[1]}"
+        self.pools: dict[Address, Pool] = {}
+        self._tasks = Tasks(counters)
+        self._calls: dict[int, asyncio.Task[None]] = {}
+
+    def _pool(self, destination: Destination) -> Pool:
+        to = address(destination.listed.addr, "addr")
+        pool = self.pools.get(to)
+        if pool is None:
+            pool = self.pools[to] = Pool(to, self)
+        return pool
+
+    async def run(self) -> None:
+        """Close idle connections well before the other side does."""
+        while True:
+            await asyncio.sleep(REAP_S)
+            for pool in self.pools.values():
+                pool.close_idle(self.core.clock.now() - self.idle_ms)
+
+    async def close(self) -> None:
+        """Give back everything."""
+        await self._tasks.close()
+        for pool in list(self.pools.values()):
+            pool.close_idle()
+
+    def make_room(self) -> None:
+        """Close every idle connection: the sockets are needed elsewhere."""
+        for pool in self.pools.values():
+            pool.close_idle()
+
+    def close_idle(self, destination: Destination) -> None:
+        """Close idle connections."""
+        self._pool(destination).close_idle()
+
+    def forget(self, destination: Destination) -> None:
+        """The destination is gone or restarted: its pool ends."""
+        pool = self.pools.pop(address(destination.listed.addr, "addr"), None)
+        if pool is not None:
+            pool.close_idle()
+
+    # -- probes --
+
+    def probe(self, destination: Destination) -> None:
+        """Ask a worker for its load."""
+        self._tasks.start(self._probe(destination, self._pool(destination)))
+
+    async def _probe(self, destination: Destination, pool: Pool) -> None:
+        began = self.core.clock.now()
+        status, report = Status.CONNECT_FAILED, ()
+        wire: Wire | None = None
+        try:
+            async with asyncio.timeout(PROBE_S):
+                wire = await pool.take()
+                status = Status.RESET
+                await wire.send("GET", "/-/load", [("Host", self.service)], b"")
+                event = await wire.event()
+                body = await wire.body()
+                if isinstance(event, h11.Response):
+                    status = Status.OK if event.status_code == 200 else Status.ERROR
+                    report = parse_load(body, self.report_fields)  # type: ignore[assignment]
+        except TimeoutError:
+            status = Status.TIMEOUT
+        except (ConnectionLostError, NeverWrittenError, h11.LocalProtocolError):
+            pass
+        finally:
+            now = self.core.clock.now()
+            if wire is not None:
+                pool.give_back(wire, now)
+        await self.core.post(lambda: self.core.probed(destination, status, now - began, report))
+
+    # -- calls --
+
+    def start(self, call: Call) -> None:
+        """Begin a call."""
+        self._calls[id(call)] = self._tasks.start(self._call(call, self._pool(call.destination)))
+
+    def cancel(self, call: Call) -> None:
+        """Stop waiting for a call."""
+        task = self._calls.get(id(call))
+        if task is not None and not call.over:
+            task.cancel()
+
+    async def _call(self, call: Call, pool: Pool) -> None:
+        wire: Wire | None = None
+        outcome = Outcome(Status.CANCELLED)  # if it is called off before it could begin
+        try:
+            async with asyncio.timeout((call.ends - self.core.clock.now()) / 1000.0):
+                outcome.status = Status.CONNECT_FAILED
+                wire = await pool.take()
+                await self._write(call, wire)
+                outcome.status = Status.RESET
+                outcome = await self._outcome(call, wire)
+        except TimeoutError:
+            if outcome.status == Status.RESET:
+                outcome = Outcome(Status.TIMEOUT)
+        except (ConnectionLostError, NeverWrittenError):
+            pass
+        except asyncio.CancelledError:
+            outcome = Outcome(Status.CANCELLED)
+        call.over = True  # from here on nothing may call it off: its outcome is on the way
+        del self._calls[id(call)]
+        keep = wire is not None and outcome.status in (Status.OK, Status.FULL, Status.ERROR)
+        if wire is not None and not keep:
+            pool.drop(wire)
+        await self.core.post(lambda: self.core.ended(call, outcome))
+        if wire is not None and keep:
+            try:
+                async with asyncio.timeout(TAIL_S):
+                    if wire.http.their_state is h11.SEND_BODY:
+                        await wire.body()
+            except (ConnectionLostError, TimeoutError):
+                pass
+            finally:
+                pool.give_back(wire, self.core.clock.now())
+
+    async def _write(self, call: Call, wire: Wire) -> None:
+        job = call.job
+        left = max(1, int(call.ends - self.core.clock.now()))
+        headers = [("Host", self.service), ("X-Request-ID", job.ident), ("X-Timeout", f"{left}m"),
+                   ("X-Priority-Class", self.class_names[job.class_index]),
+                   ("Content-Length", str(len(job.body)))]
+        try:
+            await wire.send(job.method, job.target, headers, job.body)
+        except h11.LocalProtocolError as error:
+            raise NeverWrittenError(str(error)) from None
+
+    async def _outcome(self, call: Call, wire: Wire) -> Outcome:
+        """Read an answer up to the line, or the status, that ends the attempt."""
+        response = await wire.event()
+        while isinstance(response, h11.InformationalResponse):
+            response = await wire.event()
+        headers = dict(response.headers)
+        report = parse_load(headers.get(b"x-server-load", b""), self.report_fields)
+        if response.status_code != 200:
+            unrun = response.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
+            return Outcome(Status.FULL if unrun else Status.ERROR, b"", report)
+        async for line in self._lines(wire):
+            if line.id not in ("", call.job.ident):
+                raise ConnectionLostError("an answer to another request")
+            if line.load:
+                report = tuple(float(line.load.get(f, 0.0)) for f in self.report_fields)
+            if line.state == "started":
+                await self.core.post(lambda: self.core.started(call))
+            elif line.state == "running":
+                await self.core.post(lambda share=line.share: self.core.progressed(call, share))  # type: ignore[misc]
+            elif line.state == "done":
+                result = line.result
+                body = result.encode() if isinstance(result, str) else msgspec.json.encode(result)
+                return Outcome(Status.OK, body, report)
+            elif line.state in ENDINGS:
+                return Outcome(ENDINGS[line.state], b"", report)
+        raise ConnectionLostError("the answer ended before its last line")
+
+    async def _lines(self, wire: Wire) -> AsyncIterator[Line]:
+        rest = b""
+        while not isinstance(event := await wire.event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                continue
+            *lines, rest = (rest + bytes(event.data)).split(b"\n")
+            if len(rest) > LINE_MOST:
+                raise ConnectionLostError("line too long")
+            for text in lines:
+                if text.strip():
+                    yield self._decode(text)
+        if rest.strip():
+            yield self._decode(rest)
+
+    def _decode(self, text: bytes) -> Line:
+        try:
+            return _line.decode(text)
+        except msgspec.DecodeError as error:
+            self.counters.log("garbled.answer", str(error))
+            raise ConnectionLostError("garbled line") from None
+
+
+ENDINGS = {"failed": Status.ERROR, "returned": Status.FULL, "lost": Status.RESET}
+
+
+# --- inbound -----------------------------------------------------------------------------------------
+
+class BadRequestError(Exception):
+    """A request that never reaches the core: status and reason."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+_TIMEOUT = re.compile(rb"(\d{1,12})(?:\.\d+)?([mu])")
+_IDENT = re.compile(rb"[!-~]{1,128}")
+_ANSWERS = {Ending.SERVED: 200, Ending.REFUSED: 503, Ending.FAILED: 502}
+
+
+def parse_job(event: h11.Request, body: bytes, classes: dict[bytes, int], received_at: float,
+              reply: Callable[[Answer], None]) -> Job:
+    """A request as the core takes it; BadRequestError if it is none."""
+    headers = dict(event.headers)
+    ident = headers.get(b"x-request-id", b"")
+    if not _IDENT.fullmatch(ident):
+        raise BadRequestError(400, "X-Request-ID")
+    class_index = classes.get(headers.get(b"x-priority-class", b""))
+    if class_index is None:
+        raise BadRequestError(400, "X-Priority-Class")
+    timeout = _TIMEOUT.fullmatch(headers.get(b"x-timeout", b""))
+    if timeout is None:
+        raise BadRequestError(400, "X-Timeout")
+    left_ms = float(timeout[1]) / (1.0 if timeout[2] == b"m" else 1000.0)
+    extras = {"slots": 1.0, "memory": 0.0}
+    for pair in headers.get(b"x-attrs", b"").decode("ascii", "replace").split(","):
+        name, _, value = pair.strip().partition("=")
+        if name in extras:
+            if not re.fullmatch(r"\d{1,9}(\.\d{1,9})?", value):
+                raise BadRequestError(400, "X-Attrs")
+            extras[name] = float(value)
+    return Job(ident.decode(), class_index, received_at, left_ms - TRAVEL_MS, reply, body,
+               event.method.decode(), event.target.decode(), parse_key(headers.get(b"cookie", b"")),
+               extras["slots"] or 1.0, extras["memory"], headers.get(b"x-retried") == b"1")
+
+
+def parse_key(cookie: bytes) -> int:
+    """What the request is about: the cookie ``key`` as a number; 0 if there is none."""
+    for part in cookie.split(b";"):
+        name, _, value = part.strip().partition(b"=")
+        if name == b"key" and value:
+            try:
+                return int(value, 16) & 0xFFFFFFFFFFFFFFFF
+            except ValueError:
+                return zlib.crc32(value) + 1
+    return 0
+
+
+class Inbound:
+    """The clients' side: one handler for each connection, one request at a time on each."""
+
+    def __init__(self, config: Config, core: Core, counters: Counters) -> None:
+        self.core = core
+        self.counters = counters
+        self.listen = config.listen
+        self.classes = {name.encode(): i for i, name in enumerate(config.class_names)}
+        self.most = int(config.limits.sockets * INBOUND_PART)
+        self.idle: dict[asyncio.Task[None], asyncio.StreamWriter] = {}  # oldest first
+        self.handlers: set[asyncio.Task[None]] = set()
+        self.leaving = False
+        self.ready = False
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, *self.listen, backlog=512)
+
+    async def leave(self) -> None:
+        """After SIGTERM: serve on while connections come, then end each after its answer."""
+        await asyncio.sleep(LINGER_S)
+        self.leaving = True
+        for writer in list(self.idle.values()):
+            writer.transport.abort()
+        while self.handlers or self.core.open_jobs:
+            await asyncio.sleep(0.02)
+            for writer in list(self.idle.values()):
+                writer.transport.abort()
+
+    async def close(self) -> None:
+        """Give back the listening socket and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self.handlers):
+            task.cancel()
+        if self.handlers:
+            await asyncio.wait(self.handlers)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.handlers.add(task)
+        self.counters.add("connections.inbound")
+        if len(self.handlers) > self.most and self.idle:
+            next(iter(self.idle.values())).transport.abort()  # the longest idle makes room
+        try:
+            if len(self.handlers) <= self.most + 8:
+                await self._exchange(task, reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.idle.pop(task, None)
+            self.handlers.discard(task)
+            writer.close()
+            with suppress(OSError):
+                await writer.wait_closed()
+
+    async def _exchange(self, task: asyncio.Task[None], reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter) -> None:
+        http = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                self.idle[task] = writer
+                found = await self._read(task, http, reader, writer)
+                if found is None:
+                    return
+                event, body, received_at = found
+                await self._handle(event, body, received_at, http, reader, writer)
+            except (BadRequestError, h11.RemoteProtocolError) as error:
+                self.counters.log("garbled.request", str(error) or type(error).__name__)
+                status = error.status if isinstance(error, BadRequestError) else error.error_status_hint
+                if http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    await self._write(http, writer, status, b"", [("Connection", "close")])
+                return
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    async def _read(self, task: asyncio.Task[None], http: h11.Connection, reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter) -> tuple[h11.Request, bytes, float] | None:
+        """The next whole request; None when the client closes."""
+        request: h11.Request | None = None
+        body = bytearray()
+        received_at = self.core.clock.now() if http.trailing_data[0] else 0.0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                if http.they_are_waiting_for_100_continue:
+                    writer.write(http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                data = await reader.read(READ)
+                if data:
+                    self.idle.pop(task, None)
+                    received_at = received_at or self.core.clock.now()
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY_MOST:
+                    raise BadRequestError(413, "body over 64 KiB")
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                self.idle.pop(task, None)
+                return request, bytes(body), received_at
+            else:
+                return None
+
+    async def _handle(self, event: h11.Request, body: bytes, received_at: float, http: h11.Connection,
+                      reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        target = event.target.partition(b"?")[0]
+        if event.method == b"GET" and target == b"/-/ready":
+            await self._write(http, writer, 200 if self.ready else 503, b"")
+        elif event.method == b"GET" and target == b"/-/counters":
+            await self._write(http, writer, 200, msgspec.json.encode(self.counters.snapshot()))
+        elif event.method != b"POST":
+            await self._write(http, writer, 404 if event.method == b"GET" else 405, b"")
+        else:
+            future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+            job = parse_job(event, body, self.classes, received_at, lambda a: _settle(future, a))
+            if not self.core.offer(job):
+                future.set_result(Answer(Ending.REFUSED))
+            answer = await self._wait(job, future, http, reader)
+            if answer is None:
+                raise ConnectionResetError("client gone")
+            extra = []
+            if answer.ending is Ending.REFUSED and answer.retry_after_ms > 0:
+                extra = [("Retry-After", f"{answer.retry_after_ms / 1000.0:.3f}")]
+            await self._write(http, writer, _ANSWERS[answer.ending], answer.body, extra)
+
+    async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
+                    reader: asyncio.StreamReader) -> Answer | None:
+        """The final answer; None if the client went first, which the core is told."""
+        read = asyncio.ensure_future(reader.read(READ))
+        waited: set[asyncio.Future[Any]] = {read, future}
+        try:
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            if read.done():
+                early = b""
+                with suppress(OSError):
+                    early = read.result()
+                if early:
+                    http.receive_data(early)  # of the next request
+                elif not future.done():
+                    await self.core.post(lambda: self.core.gone(job))
+                    return None
+            return await future
+        except asyncio.CancelledError:
+            await self.core.post(lambda: self.core.gone(job))
+            raise
+        finally:
+            read.cancel()  # bytes that have come by now stay in the reader
+            with suppress(OSError, asyncio.CancelledError):
+                await read
+
+    async def _write(self, http: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes,
+                     extra: Iterable[tuple[str, str]] = ()) -> None:
+        headers = [("Content-Length", str(len(body))), *extra]
+        if self.leaving:
+            headers.append(("Connection", "close"))
+        data = http.send(h11.Response(status_code=status, headers=headers)) or b""
+        if body:
+            data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        writer.write(data)
+        await writer.drain()
+
+
+def _settle(future: asyncio.Future[Answer], answer: Answer) -> None:
+    if not future.done():
+        future.set_result(answer)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 
 from gaphub import benchlink, wire
+from gaphub.config import parse_settings
 from gaphub.interface import Effect, ListedWorker
 from gaphub.logic import Balancer
 
@@ -227,7 +228,7 @@
 
 
 def test_settings_defaults_and_words() -> None:
-    s = wire.parse_settings(
+    s = parse_settings(
         params(
             familyInfo={"classStretch": [1.5], "reportX0": "free slots"},
             report={"fields": ["x0", "queue"], "via": "on_probe"},
@@ -241,9 +242,9 @@
     assert s.prices == {"cross_zone": 0.5}
     assert s.cold_ms == 20_000.0
     with pytest.raises(ValueError, match="idempotency"):
-        wire.parse_settings(params(grades=[{"slo": 1, "deadline": 1, "idempotency": "odd"}]))
+        parse_settings(params(grades=[{"slo": 1, "deadline": 1, "idempotency": "odd"}]))
     with pytest.raises(ValueError, match=r"grades\[0\].slo"):
-        wire.parse_settings(params(grades=[{"deadline": 1}]))
+        parse_settings(params(grades=[{"deadline": 1}]))
 
 
 def run(data: bytes, seed: str = "0") -> subprocess.CompletedProcess[bytes]:
