Scenario language and scenarios of the HTTP fronts and the destination set

Added send/expect/close/wait scenarios, one for each line of the outcome table, bad input, lists and leaving. Ruled out: garbled lists, reports, lines or requests ending the program.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -18,8 +18,8 @@
 from .net.http import Inbound, Outbound
 
 
-async def serve(config: Config, counters: Counters) -> None:
-    """Serve until SIGTERM or SIGINT, then answer all that was taken."""
+async def serve(config: Config, counters: Counters, stop: asyncio.Event) -> None:
+    """Serve until ``stop``, then answer all that was taken."""
     core = Core(config.settings, config.seed, Clock(), counters)
     outbound = Outbound(config, core, counters)
     inbound = Inbound(config, core, counters)
@@ -27,15 +27,13 @@
     core.ports[SOURCE] = outbound
     core.list_port = destinations
     destinations.start_from_known()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
     actors = Tasks(counters)
     try:
         await inbound.open()
         for part in (core, outbound, destinations):
             actors.start(part.run())
         inbound.ready = True
+        counters.add("ready")
         await stop.wait()
         await inbound.leave()
     finally:
@@ -45,6 +43,14 @@
         print("gaphub: at exit:", *(f"{k}={v}" for k, v in counters.snapshot().items()), file=sys.stderr)
 
 
+async def run(config: Config) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await serve(config, Counters(), stop)
+
+
 def main() -> int:
     """Run; 2 if the configuration cannot be used."""
     try:
@@ -54,7 +60,7 @@
         return 2
     gc.freeze()
     gc.set_threshold(50_000, 50, 50)
-    asyncio.run(serve(config, Counters()))
+    asyncio.run(run(config))
     return 0
 
 
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -206,6 +206,10 @@
 class Fronts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The file ``deploy/fronts.toml``."""
 
+    def gearman_at(self) -> Address | None:
+        """Where the Gearman front listens; None: it is off."""
+        return None
+
 
 class Config(msgspec.Struct, frozen=True):
     """All that a scheduler is told, checked."""
@@ -254,7 +258,13 @@
     """The whole configuration; ConfigError names what is wrong with it."""
     if not env.get("LB_CONFIG"):
         raise ConfigError("LB_CONFIG: missing")
-    file = _decode(_read(env["LB_CONFIG"], "LB_CONFIG"), _File, "LB_CONFIG")
+    fronts = env.get("LB_FRONTS") or str(FRONTS)
+    return from_text(_read(env["LB_CONFIG"], "LB_CONFIG"), env, _read(fronts, "LB_FRONTS").decode())
+
+
+def from_text(data: bytes, env: Mapping[str, str], fronts: str) -> Config:
+    """The configuration from the texts of its two files and the environment."""
+    file = _decode(data, _File, "LB_CONFIG")
     raw = file.settings
     settings = read_settings(raw)
     if not re.fullmatch(r"[0-9a-fA-F]{1,32}", file.seed):
@@ -265,7 +275,6 @@
     idle = _object(raw.get("limits"), "limits").get("connIdle", 60_000.0)
     if not isinstance(idle, int | float) or idle <= 0:
         raise ConfigError(f"limits.connIdle: {idle!r} is not a time")
-    fronts = env.get("LB_FRONTS") or str(FRONTS)
     return Config(
         name=env.get("LB_NAME") or file.name,
         listen=address(env.get("LB_LISTEN") or file.listen, "LB_LISTEN"),
@@ -282,5 +291,5 @@
         models=tuple(map(str, raw.get("models") or ())),
         report_fields=tuple(map(str, _object(raw.get("report"), "report").get("fields") or ())),
         conn_idle_ms=float(idle),
-        fronts=_decode(_read(fronts, "LB_FRONTS"), Fronts, "LB_FRONTS", toml=True),
+        fronts=_decode(fronts.encode(), Fronts, "LB_FRONTS", toml=True),
     )
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,248 @@
+"""The scenario language of the network tests: send, expect, close, wait.
+
+A scenario is lines of ``ACTOR VERB REST``.  Actors: ``c``, ``c2`` ... are clients (they connect when first
+used); ``w`` and ``x`` are workers, ``d`` is discovery's agent (each listens; its current connection is the
+newest that it has not closed); ``g``, ``g2`` ... speak Gearman's binary protocol and ``a`` its text one;
+``u`` is a peer.  ``#`` starts a comment line.
+
+    send    a macro of that actor (see ``_Cast.render``), or bytes with escapes
+    expect  a regular expression in what the actor has received since its last expect
+    close   end the connection; ``expect-close`` waits until the other side does
+    wait    ``wait MS``; ``term``: SIGTERM's effect; ``count NAME N``: a counter's value
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import struct
+from contextlib import suppress
+from typing import Any
+
+from gaphub import config as conf
+from gaphub.__main__ import serve
+from gaphub.metrics import Counters
+
+CLASSES = [
+    {"name": "poloha", "slo": 500.0, "deadline": 5000.0, "idempotency": "idempotent"},
+    {"name": "vyuctovani", "slo": 1200.0, "deadline": 20000.0, "idempotency": "at_most_once"},
+]
+SETTINGS: dict[str, Any] = {
+    "balancers": 1, "me": 0, "zones": ["a"], "models": ["m"], "tick": 4.0, "grades": CLASSES,
+    "familyInfo": {"tellsStart": True, "reportX0": "free slots"},
+    "limits": {"mostTries": 4, "dialTimeout": 150.0, "secondCopies": False, "connIdle": 60000.0},
+    "report": {"fields": ["queue", "x0"], "via": "off"}, "rules": {"startCapacity": 0.3},
+}
+REASONS = {200: "OK", 500: "E", 503: "U", 504: "T"}
+
+
+class Side:
+    """One end of a connection, with what it has received and not yet expected."""
+
+    def __init__(self) -> None:
+        self.seen = b""
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+        self.next: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
+
+    async def ready(self) -> None:
+        """Have a connection."""
+        if self.writer is None:
+            self.reader, self.writer = await self.next.get()
+            self.seen = b""
+
+    async def expect(self, pattern: str) -> None:
+        await self.ready()
+        assert self.reader is not None
+        while True:
+            found = re.search(pattern.encode(), self.seen, re.S)
+            if found:
+                self.seen = self.seen[found.end():]
+                return
+            data = await self.reader.read(65536)
+            assert data, f"closed before {pattern!r}; had {self.seen!r}"
+            self.seen += data
+
+    async def end(self) -> None:
+        await self.ready()
+        assert self.reader is not None
+        with suppress(ConnectionError):
+            while data := await self.reader.read(65536):
+                self.seen += data
+
+    def close(self) -> None:
+        if self.writer is not None:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
+
+
+class Cast:
+    """A scheduler in this process and everybody around it, on loopback."""
+
+    def __init__(self, **more: Any) -> None:
+        self.more = more
+        self.sides: dict[str, Side] = {}
+        self.servers: list[asyncio.Server] = []
+        self.ports: dict[str, int] = {}
+        self.counters = Counters()
+        self.stop = asyncio.Event()
+
+    async def _listen(self, name: str) -> None:
+        side = self.sides[name] = Side()
+
+        async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            side.next.put_nowait((reader, writer))
+
+        server = await asyncio.start_server(accepted, "127.0.0.1", 0)
+        self.servers.append(server)
+        self.ports[name] = server.sockets[0].getsockname()[1]
+
+    def _free(self) -> int:
+        return free_port()
+
+    async def __aenter__(self) -> Cast:
+        for name in ("w", "x", "d"):
+            await self._listen(name)
+        known = self.more.pop("known", "w")
+        settings = {**SETTINGS, **self.more.pop("settings", {})}
+        file = {
+            "name": "n0", "listen": f"127.0.0.1:{self._free()}", "seed": "a1", "settings": settings,
+            "discovery": f"127.0.0.1:{self.ports['d']}",
+            "known": {"version": 41, "full": True, "servers": [self.entry(n) for n in known.split()]},
+            **self.more,
+        }
+        self.config = conf.from_text(json.dumps(file).encode(), {}, self.more.pop("fronts", ""))
+        self.task = asyncio.create_task(serve(self.config, self.counters, self.stop))
+        for _ in range(500):
+            if self.counters.values["ready"]:
+                break
+            await asyncio.sleep(0.005)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for side in self.sides.values():
+            side.close()
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        for server in self.servers:
+            server.close()
+
+    def entry(self, name: str, state: str = "active") -> dict[str, Any]:
+        return {"id": f"s-{name}", "addr": f"127.0.0.1:{self.ports[name]}", "zone": "a", "kind": "m",
+                "cell": 0, "state": state, "weight": 1.0, "started_ms": 0}
+
+    async def side(self, name: str) -> Side:
+        if name not in self.sides:
+            side = self.sides[name] = Side()
+            to = self.config.fronts.gearman_at() if name[0] in "ga" else self.config.listen
+            assert to is not None
+            side.reader, side.writer = await asyncio.open_connection(*to)
+        return self.sides[name]
+
+    def render(self, name: str, text: str) -> bytes:
+        """What a ``send`` means: a macro, or the text with its escapes."""
+        word, _, rest = text.partition(" ")
+        if word == "job":  # job CLASS ID [BODY] [Header:value ...]
+            cls, ident, *more = rest.split()
+            body = "".join(m for m in more if ":" not in m)
+            lines = [f"POST /api?q=1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {ident}",
+                     f"X-Priority-Class: {cls}", f"Content-Length: {len(body)}",
+                     *(m.replace(":", ": ", 1) for m in more if ":" in m)]
+            if not any(m.startswith("X-Timeout") for m in more):
+                lines.append("X-Timeout: 5000m")
+            return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+        if word == "lines":  # lines ID STATE|done=RESULT ... [.]: an answer of 200 in chunks; '.' ends it
+            ident, *states = rest.split()
+            out = b"" if ident == "+" else b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            for state in states:
+                if state == ".":
+                    out += b"0\r\n\r\n"
+                    continue
+                key, _, result = state.partition("=")
+                line: dict[str, Any] = {"state": key} | ({"result": result} if result else {})
+                data = json.dumps(line).encode() + b"\n"
+                out += f"{len(data):x}\r\n".encode() + data + b"\r\n"
+            return out
+        if word == "status":  # status CODE [Header:value ...] [body=TEXT]
+            code, *more = rest.split()
+            body = "".join(m[5:] for m in more if m.startswith("body="))
+            head = "".join(m.replace(":", ": ", 1) + "\r\n" for m in more if not m.startswith("body="))
+            return (f"HTTP/1.1 {code} {REASONS[int(code)]}\r\nContent-Length: {len(body)}\r\n{head}\r\n"
+                    f"{body}").encode()
+        if word == "list":  # list VERSION full|changes NAME=STATE ...
+            version, how, *states = rest.split()
+            servers = [self.entry(*s.split("=")) for s in states]
+            text = json.dumps({"version": int(version), "full": how == "full", "servers": servers})
+            return f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode()
+        data = text.encode().decode("unicode_escape").encode("latin-1")
+        if name[0] == "g" and word.isdecimal():  # TYPE ARGUMENTS, NUL as \0: a packet of Gearman
+            packet = data.partition(b" ")[2]
+            return b"\0REQ" + struct.pack(">II", int(word), len(packet)) + packet
+        return data
+
+    async def play(self, text: str) -> None:
+        """Play a scenario; any step that takes over five seconds fails it."""
+        for number, line in enumerate(text.strip().splitlines(), 1):
+            step = line.strip()
+            if step and not step.startswith("#"):
+                try:
+                    async with asyncio.timeout(5.0):
+                        await self._step(step)
+                except (TimeoutError, AssertionError, ConnectionError) as error:
+                    seen = self.counters.snapshot()
+                    raise AssertionError(f"line {number}: {step}: {error!r} {seen}") from None
+
+    async def _step(self, step: str) -> None:
+        actor, _, rest = step.partition(" ")
+        if actor == "wait":
+            await asyncio.sleep(float(rest) / 1000.0)
+        elif actor == "term":
+            self.stop.set()
+        elif actor == "ended":
+            await asyncio.wait([self.task])
+        elif actor == "count":
+            name, value = rest.split()
+            while self.counters.values[name] != int(value):
+                await asyncio.sleep(0.01)
+        else:
+            side = await self.side(actor)
+            verb, _, rest = rest.partition(" ")
+            if verb == "send":
+                await side.ready()
+                assert side.writer is not None
+                side.writer.write(self.render(actor, rest))
+                await side.writer.drain()
+            elif verb == "expect":
+                await side.expect(rest)
+            elif verb == "expect-close":
+                await side.end()
+            elif verb == "close":
+                side.close()
+                if actor[0] not in "wxd":
+                    del self.sides[actor]
+            else:
+                raise AssertionError(f"no such verb: {verb}")
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on."""
+    import socket
+
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        port: int = s.getsockname()[1]
+        return port
+
+
+def play(text: str, **more: Any) -> None:
+    """Run one scenario against a scheduler of its own."""
+
+    async def run() -> None:
+        async with Cast(**more) as cast:
+            await cast.play(text)
+
+    asyncio.run(run())
+
+
+__all__ = ["CLASSES", "SETTINGS", "Cast", "play"]
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,245 @@
+"""Scenarios of the platform's wire: inbound, outbound calls, destination set, shutdown."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from .scenario import SETTINGS, play
+
+SERVED = {
+    "a job is passed on unchanged and its result comes back": """
+        c send job poloha r1 body1 Cookie:key=7f
+        w expect POST /api\\?q=1 .*r1.*poloha.*body1
+        w send lines r1 started done=hello .
+        c expect 200 .*Content-Length: 5.*hello
+    """,
+    "connections are used again on both sides": """
+        c send job poloha r1
+        w expect r1
+        w send lines r1 done=a .
+        c expect 200 .*a$
+        c send job poloha r2
+        w expect r2
+        w send lines r2 done=b .
+        c expect 200 .*b$
+        count connections.outbound 1
+    """,
+    "ready, counters and unknown paths": """
+        c send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+        c expect HTTP/1.1 200
+        c send GET /-/counters HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+        c expect connections.inbound
+        c send GET /x HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+        c expect HTTP/1.1 404
+    """,
+    # A body may come in any pieces; the request begins with its last byte.
+    "a request in pieces": """
+        c send POST /api HTTP/1.1\\r\\nHost: a\\r\\nX-Request-ID: r1\\r\\nX-Priority-
+        wait 20
+        c send Class: poloha\\r\\nX-Timeout: 900000u\\r\\nContent-Length: 2\\r\\n\\r\\na
+        wait 20
+        c send b
+        w expect r1.*\\r\\n\\r\\nab
+        w send lines r1 done=x .
+        c expect 200
+    """,
+}
+
+OUTCOMES = {
+    "never ran by the worker's word: a never-twice job goes elsewhere": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} send status 503 X-Not-Processed:1
+        {second} expect r1
+        {second} send lines r1 done=ok .
+        c expect 200 .*ok
+    """,
+    "handed back unstarted: a never-twice job goes elsewhere": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} send lines r1 returned .
+        {second} expect r1
+        {second} send lines r1 done=ok .
+        c expect 200 .*ok
+    """,
+    "503 without the worker's word may have run: a never-twice job fails": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} send status 503
+        c expect HTTP/1.1 502
+        count calls.sent 1
+    """,
+    "the connection breaks after the last byte: a never-twice job fails": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} close
+        c expect HTTP/1.1 502
+        count calls.sent 1
+        count calls.reset 1
+    """,
+    "the answer ends before its last line: a never-twice job fails": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} send lines r1 started .
+        c expect HTTP/1.1 502
+        count calls.sent 1
+    """,
+    "a killed job that may be repeated is": """
+        c send job poloha r1
+        {first} expect r1
+        {first} send lines r1 started lost .
+        {second} expect r1
+        {second} send lines r1 done=ok .
+        c expect 200 .*ok
+        count calls.sent 2
+    """,
+    "a garbled line counts as a break": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} send HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n4\\r\\n{{x}}\\n\\r\\n
+        c expect HTTP/1.1 502
+        count garbled.answer 1
+    """,
+    "an answer to another request is not served": """
+        c send job vyuctovani r1
+        {first} expect r1
+        {first} send status 200 body={{"id":"r2","state":"done","result":"no"}}
+        c expect HTTP/1.1 502
+    """,
+    "a client that leaves ends the outbound call": """
+        c send job poloha r1
+        {first} expect r1
+        c close
+        {first} expect-close
+        count requests.client_gone 1
+    """,
+    # Guards against a deadline that passes unanswered while a worker is silent.
+    "a silent worker: failed by the deadline": """
+        c send job vyuctovani r1 X-Timeout:300m
+        {first} expect r1
+        c expect HTTP/1.1 502
+        {first} expect-close
+    """,
+}
+
+REFUSED = {
+    "malformed HTTP": ("c send nonsense\\r\\n\\r\\n", "400"),
+    "no id": ("c send POST /api HTTP/1.1\\r\\nHost: a\\r\\nContent-Length: 0\\r\\n\\r\\n", "400"),
+    "unknown class": ("c send job render r1", "400"),
+    "bad time-out": ("c send job poloha r1 X-Timeout:soon", "400"),
+    "bad attributes": ("c send job poloha r1 X-Attrs:slots=many", "400"),
+    "oversized body": ("c send job poloha r1 " + "a" * 66000, "413"),
+    "other methods": ("c send PUT /api HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n", "405"),
+}
+
+LISTS = {
+    "draining acts at once, and the watch goes on from the last version": """
+        d expect GET /api/targets\\?index=41&wait=
+        d send list 42 changes w=leaving x=active
+        d expect GET /api/targets\\?index=42&wait=
+        c send job poloha r1
+        x expect r1
+        x send lines r1 done=ok .
+        c expect 200
+    """,
+    "a garbled list is dropped and the old one kept": """
+        d expect index=41
+        d send status 200 body={"servers":7}
+        d expect index=41
+        count garbled.list 1
+        c send job poloha r1
+        w expect r1
+        w send lines r1 done=ok .
+        c expect 200
+    """,
+    "a lost agent is called again": """
+        d expect index=41
+        d close
+        d expect index=41
+        d send list 44 full x=active
+        d expect index=44
+        c send job poloha r1
+        x expect r1
+    """,
+    "nobody to send to: refused": """
+        d expect index=41
+        d send list 42 changes w=left
+        d expect index=42
+        c send job vyuctovani r1
+        c expect HTTP/1.1 503
+    """,
+}
+
+@pytest.mark.parametrize("name", SERVED)
+def test_served(name: str) -> None:
+    play(SERVED[name])
+
+
+@pytest.mark.parametrize("name", OUTCOMES)
+def test_outcomes(name: str) -> None:
+    # One worker is known at first; the other joins by the list when the first has the job.
+    play("""
+        d expect index=41
+        """ + OUTCOMES[name].format(first="w", second="x").replace(
+        "w expect r1", "w expect r1\n d send list 42 changes x=active\n d expect index=42", 1))
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_bad_input_never_reaches_the_core(name: str) -> None:
+    sent, status = REFUSED[name]
+    play(f"{sent}\n c expect HTTP/1.1 {status}\n count requests.taken 0\n"
+         + SERVED["connections are used again on both sides"].replace("c ", "c2 "))
+
+
+@pytest.mark.parametrize("name", LISTS)
+def test_lists(name: str) -> None:
+    play(LISTS[name])
+
+
+def test_leaving() -> None:
+    play("""
+        c send job vyuctovani r1
+        w expect r1
+        term
+        wait 100
+        w send lines r1 done=one .
+        c expect 200 .*one
+        c2 send job poloha r2
+        w expect r2
+        wait 500
+        w send lines r2 done=two .
+        c2 expect Connection: close.*two
+        ended
+    """)
+
+
+PROBES: dict[str, Any] = {
+    "limits": {**SETTINGS["limits"], "probes": True},
+    "report": {"fields": ["queue", "x0"], "via": "on_probe"},
+}
+
+
+def test_a_look_comes_before_a_send_and_uses_its_connection() -> None:
+    play("""
+        c send job poloha r1
+        w expect GET /-/load
+        w send status 200 body=queue=0,x0=3
+        w expect r1
+        w send lines r1 done=ok .
+        c expect 200
+        count probes.ok 1
+        count connections.outbound 1
+    """, settings=PROBES)
+
+
+def test_a_garbled_report_is_dropped() -> None:
+    play("""
+        c send job poloha r1
+        w expect GET /-/load
+        w send status 200 body=queue=many
+        w expect r1
+        w send lines r1 done=ok .
+        c expect 200
+    """, settings=PROBES)
