--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -13,9 +13,14 @@
 
 from .config import Config, ConfigError, load
 from .core import Clock, Core, Tasks
-from .metrics import Counters
-from .net.destinations import SOURCE, DestinationSet
+from .metrics import Counters, Sinks
+from .net import destinations as discovery
+from .net import gearman
+from .net.destinations import DestinationSet
+from .net.gearman import Gearman
 from .net.http import Inbound, Outbound
+from .net.peers import Peers
+from .store import Store
 
 
 async def serve(config: Config, counters: Counters, stop: asyncio.Event) -> None:
@@ -24,21 +29,32 @@
     outbound = Outbound(config, core, counters)
     inbound = Inbound(config, core, counters)
     destinations = DestinationSet(config, core, counters)
-    core.ports[SOURCE] = outbound
+    store = Store(config.settings.me, config.fronts.store.entries_most)
+    peers = Peers(config, core, counters, store)
+    gearmen = Gearman(config, core, counters, store, stop.set)
+    sinks = Sinks(config, counters)
+    core.ports = {discovery.SOURCE: outbound, gearman.SOURCE: gearmen}
     core.list_port = destinations
+    core.peer_port = peers
     destinations.start_from_known()
     actors = Tasks(counters)
     try:
         await inbound.open()
-        for part in (core, outbound, destinations):
-            actors.start(part.run())
+        await gearmen.open()
+        await peers.open()
+        for work in (core.run(), outbound.run(), destinations.run(), gearmen.run(), sinks.run_graphite(),
+                     sinks.run_collectd()):
+            actors.start(work)
         inbound.ready = True
         counters.add("ready")
         await stop.wait()
+        gearmen.leaving = True
         await inbound.leave()
     finally:
         await inbound.close()
+        await gearmen.close()
         await actors.close()
+        await peers.close()
         await outbound.close()
         print("gaphub: at exit:", *(f"{k}={v}" for k, v in counters.snapshot().items()), file=sys.stderr)
 
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -203,12 +203,74 @@
     settings: dict[str, Any] = {}
 
 
+class GearmanFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The section ``[gearman]``."""
+
+    listen: str = ""  # host:port; empty: off
+    functions: dict[str, str] = {}  # function: class
+    keep_s: float = 120.0  # how long the end of a job with a unique is kept, and answers a resubmission
+    hold_after_start: bool = True  # after a start refuse never-twice jobs with a unique for keep_s
+    ends_most: int = 50_000
+    ends_bytes: int = 16_000_000
+
+
+class StoreFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The section ``[store]``."""
+
+    round_s: float = 10.0  # between two rounds with one peer
+    counters_s: float = 60.0  # between two publications of this daemon's counters
+    entries_most: int = 20_000
+
+
+class Sink(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A section of a metrics sink."""
+
+    address: str = ""  # host:port; empty: off
+    every_s: float = 10.0
+    prefix: str = "gaphub"
+
+
+class MetricsFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The section ``[metrics]``."""
+
+    graphite: Sink = Sink()
+    collectd: Sink = Sink()
+
+
 class Fronts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The file ``deploy/fronts.toml``."""
 
+    gearman: GearmanFront = GearmanFront()
+    store: StoreFront = StoreFront()
+    metrics: MetricsFront = MetricsFront()
+
     def gearman_at(self) -> Address | None:
         """Where the Gearman front listens; None: it is off."""
-        return None
+        return address(self.gearman.listen, "gearman.listen") if self.gearman.listen else None
+
+
+def read_fronts(text: str, classes: list[str]) -> Fronts:
+    """The file ``deploy/fronts.toml``, checked."""
+    fronts = _decode(text.encode(), Fronts, "LB_FRONTS", toml=True)
+    for name, cls in fronts.gearman.functions.items():
+        if cls not in classes and fronts.gearman.listen:
+            raise ConfigError(f"gearman.functions.{name}: {cls!r} is none of {', '.join(classes)}")
+    fronts.gearman_at()
+    for key, value in (("gearman.keep_s", fronts.gearman.keep_s), ("store.round_s", fronts.store.round_s),
+                       ("store.counters_s", fronts.store.counters_s),
+                       ("store.entries_most", fronts.store.entries_most),
+                       ("gearman.ends_most", fronts.gearman.ends_most),
+                       ("gearman.ends_bytes", fronts.gearman.ends_bytes)):
+        if not value > 0:
+            raise ConfigError(f"{key}: must be above 0")
+    for key, sink in (("graphite", fronts.metrics.graphite), ("collectd", fronts.metrics.collectd)):
+        if sink.address:
+            address(sink.address, f"metrics.{key}.address")
+        if not sink.every_s > 0:
+            raise ConfigError(f"metrics.{key}.every_s: must be above 0")
+        if not re.fullmatch(r"[A-Za-z0-9_\-]+(\.[A-Za-z0-9_\-]+)*", sink.prefix):
+            raise ConfigError(f"metrics.{key}.prefix: {sink.prefix!r} is not a path")
+    return fronts
 
 
 class Config(msgspec.Struct, frozen=True):
@@ -291,5 +353,5 @@
         models=tuple(map(str, raw.get("models") or ())),
         report_fields=tuple(map(str, _object(raw.get("report"), "report").get("fields") or ())),
         conn_idle_ms=float(idle),
-        fronts=_decode(fronts.encode(), Fronts, "LB_FRONTS", toml=True),
+        fronts=read_fronts(fronts, names),
     )
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
@@ -106,6 +107,8 @@
     slots: float = 1.0
     memory: float = 0.0
     is_retry: bool = False
+    news: Callable[[str, tuple[bytes, ...]], None] | None = None  # what its front wants to hear meanwhile
+    front: object = None  # the front's own record of it
     number: int = 0
     ends: float = 0.0
     answered: bool = False
@@ -125,6 +128,7 @@
     weight: float = 1.0
     zone: int = 0
     started_ms: float = 0.0
+    able: int = -1  # the classes it can run, a bit for each; -1: any
 
 
 @dataclass(slots=True)
@@ -146,8 +150,15 @@
     sent_at: float
     ends: float
     over: bool = False
+    written: bool = False  # set by its port just before the last byte leaves
+    timed_out: bool = False
     status: Status | None = None
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether it is proved that this attempt did not run."""
+        return self.status in NEVER_RAN or (self.status == Status.CANCELLED and not self.written)
+
 
 @dataclass(slots=True)
 class Outcome:
@@ -161,14 +172,14 @@
 class CallPort(Protocol):
     """What reaches the destinations of one source."""
 
-    def start(self, call: Call) -> None:
-        """Begin a call; ``Core.ended`` must follow once."""
+    def start(self, call: Call) -> Outcome | None:
+        """Begin a call; its outcome if it ended at once, else ``Core.ended`` must follow once."""
 
-    def cancel(self, call: Call) -> None:
-        """Stop waiting for a call and close its connection."""
+    def cancel(self, call: Call) -> Outcome | None:
+        """Stop waiting for a call and close its connection; its outcome, as with ``start``."""
 
-    def probe(self, destination: Destination) -> None:
-        """Check a destination; ``Core.probed`` must follow once."""
+    def probe(self, destination: Destination) -> tuple[Status, tuple[float, ...]] | None:
+        """Check a destination; how and its report if known at once, else ``Core.probed`` must follow."""
 
     def close_idle(self, destination: Destination) -> None:
         """Close idle connections."""
@@ -208,6 +219,7 @@
         self._later: deque[Callable[[], None]] = deque()  # what actions owe the Balancer, after its call
         self._timers: list[tuple[float, int, int]] = []
         self._deadlines: list[tuple[float, int]] = []
+        self._call_ends: list[tuple[float, int, Call]] = []  # of calls that end before their request
         self._serial = 0
         self._jobs: dict[int, Job] = {}
         self._numbers: dict[tuple[str, str], int] = {}
@@ -239,8 +251,8 @@
         loop = asyncio.get_running_loop()
         while True:
             message: Callable[[], None] | None = None
-            due = min(self._timers[0][0] if self._timers else 1e18,
-                      self._deadlines[0][0] if self._deadlines else 1e18)
+            due = min((heap[0][0] for heap in (self._timers, self._deadlines, self._call_ends) if heap),
+                      default=1e18)
             try:
                 message = self._box.get_nowait()
             except asyncio.QueueEmpty:
@@ -273,6 +285,11 @@
         while self._timers and self._timers[0][0] <= now:
             token = heappop(self._timers)[2]
             self._guard(lambda token=token: self.balancer.on_timer(now, token))  # type: ignore[misc]
+        while self._call_ends and self._call_ends[0][0] <= now:
+            call = heappop(self._call_ends)[2]
+            if call.status is None:
+                call.timed_out = True
+                self._guard(partial(self._call_off, call))
         while self._deadlines and self._deadlines[0][0] <= now:
             job = self._jobs.get(heappop(self._deadlines)[1])
             if job is not None and not job.answered:
@@ -305,6 +322,12 @@
             self.counters.add("requests.client_gone")
             self._drop(job)
 
+    def withdraw(self, job: Job) -> None:
+        """An operator takes a request back; refused where that is harmless, else it stays."""
+        if not job.answered and all(c.never_ran or (c.status is None and not c.written) for c in job.calls):
+            self._answer(job, Answer(Ending.REFUSED))
+            self._drop(job)
+
     def _drop(self, job: Job) -> None:
         """No answer is owed: the Balancer calls off what is out."""
         job.answered = True
@@ -334,12 +357,18 @@
         """Whether trying the request again would do no harm."""
         if self.settings.classes[job.class_index].effect == Effect.SAFE:
             return True
-        return all(c.status in NEVER_RAN for c in job.calls)
+        return all(c.never_ran for c in job.calls)
 
     # -- calls --
 
+    def news(self, call: Call, kind: str, data: tuple[bytes, ...]) -> None:
+        """News of a call for the front that took its request."""
+        if call.status is None and not call.job.answered and call.job.news is not None:
+            call.job.news(kind, data)
+
     def started(self, call: Call) -> None:
         """A worker began a call."""
+        self.news(call, "started", ())
         self.balancer.on_started(self.clock.now(), call.job.number, call.index)
 
     def progressed(self, call: Call, share: float) -> None:
@@ -351,6 +380,8 @@
         job = call.job
         if call.status is not None:
             return
+        if call.timed_out and outcome.status == Status.CANCELLED:
+            outcome.status = Status.TIMEOUT
         call.status = outcome.status
         job.open_calls -= 1
         now = self.clock.now()
@@ -368,12 +399,14 @@
         destination = self._destinations.get(worker)
         if destination is None or destination.listed.state != WorkerState.READY:
             return None
+        if not destination.listed.able >> job.class_index & 1:
+            return None
         if job.answered or job.open_calls or now >= job.ends:
             return None
         if len(job.calls) >= min(MOST_ATTEMPTS, self.settings.max_attempts):
             return None
         effect = self.settings.classes[job.class_index].effect
-        if effect == Effect.UNSAFE and not all(c.status in NEVER_RAN for c in job.calls):
+        if effect == Effect.UNSAFE and not all(c.never_ran for c in job.calls):
             return None
         return destination
 
@@ -398,10 +431,15 @@
         job.open_calls += 1
         self.counters.add("calls.sent")
         try:
-            self.ports[destination.source].start(call)
+            outcome = self.ports[destination.source].start(call)
         except Exception as error:  # nothing was written: the call could not connect
             self.counters.log("port_failed", repr(error))
-            self._later.append(lambda: self.ended(call, Outcome(Status.CONNECT_FAILED)))
+            outcome = Outcome(Status.CONNECT_FAILED)
+        if outcome is not None:
+            self._later.append(partial(self.ended, call, outcome))
+        elif ends < job.ends:
+            self._serial += 1
+            heappush(self._call_ends, (ends, self._serial, call))
 
     def refuse(self, request: int, retry_after_ms: float) -> None:
         """Final answer: refused.  A refusal that would be untrue is sent as a failure."""
@@ -422,9 +460,13 @@
         """Stop waiting for a call."""
         job = self._jobs.get(request)
         if job is not None and 0 <= attempt < len(job.calls):
-            call = job.calls[attempt]
-            if call.status is None:
-                self.ports[call.destination.source].cancel(call)
+            self._call_off(job.calls[attempt])
+
+    def _call_off(self, call: Call) -> None:
+        if call.status is None:
+            outcome = self.ports[call.destination.source].cancel(call)
+            if outcome is not None:
+                self._later.append(partial(self.ended, call, outcome))
 
     def set_timer(self, delay_ms: float, token: int) -> None:
         """Ask for a timer event."""
@@ -439,7 +481,9 @@
                 self.clock.now(), worker, Status.CONNECT_FAILED, 0.0, ()))
             return
         self.counters.add("probes.sent")
-        self.ports[destination.source].probe(destination)
+        known = self.ports[destination.source].probe(destination)
+        if known is not None:
+            self._later.append(partial(self.probed, destination, known[0], 0.0, known[1]))
 
     def probed(self, destination: Destination, status: Status, took_ms: float,
                report: tuple[float, ...]) -> None:
@@ -507,7 +551,7 @@
         else:
             known.listed = entry
         return ListedWorker(entry.state, entry.kind, entry.cell, entry.weight, entry.zone, number,
-                            entry.started_ms)
+                            entry.started_ms, entry.able)
 
     def list_failed(self) -> None:
         """A call to discovery failed."""
--- a/gaphub/interface.py
+++ b/gaphub/interface.py
@@ -81,6 +81,7 @@
     zone: int
     worker: int
     ready_at_ms: float  # when it last started; 0 if that was long ago
+    able: int = -1  # the classes that it can run, a bit for each; -1: any
 
 
 @dataclass(frozen=True)
--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -163,7 +163,7 @@
 class Worker:
     """One worker as this gateway sees it."""
 
-    __slots__ = ("id", "kind", "zone", "cell", "state", "ready_at", "out", "report", "report_at",
+    __slots__ = ("id", "kind", "zone", "cell", "able", "state", "ready_at", "out", "report", "report_at",
                  "report_new_at", "out_then", "memory_out", "memory_then", "capacity", "full_until",
                  "full_slots", "full_times", "busy_until", "heard_at", "strikes", "struck_until",
                  "trial", "cold_tokens", "cold_at")
@@ -173,6 +173,7 @@
         self.kind = entry.kind
         self.zone = entry.zone
         self.cell = entry.cell
+        self.able = entry.able
         self.state = entry.state
         self.out = 0.0  # slots of this gateway's attempts out there
         self.memory_out = 0.0
@@ -265,7 +266,7 @@
         self.kinds = kinds
         self.workers: dict[int, Worker] = {}
         self.ready: dict[int, Worker] = {}
-        self.pools: dict[tuple[tuple[int, ...], int], list[Worker]] = {}
+        self.pools: dict[tuple[tuple[int, ...], int, int], list[Worker]] = {}
         self.kind_counts = [0] * kinds
 
     def apply(self, kind: int, entries: Sequence[ListedWorker], token: Callable[[], float]) -> list[int]:
@@ -290,6 +291,7 @@
                 w.restart(e.ready_at_ms, token())
                 changed.append(w.id)
             w.state = e.state
+            w.able = e.able
             if e.state == WorkerState.READY:
                 self.ready[w.id] = w
             else:
@@ -304,13 +306,14 @@
         self.workers.pop(wid).state = WorkerState.GONE
         self.ready.pop(wid, None)
 
-    def pool(self, zones: tuple[int, ...], kind: int) -> list[Worker]:
-        """The ready workers of some zones (none named: any) and a kind (-1: any)."""
-        key = (zones, kind)
+    def pool(self, zones: tuple[int, ...], kind: int, cls: int) -> list[Worker]:
+        """The ready workers of some zones (none named: any) and a kind (-1: any) that can run a class."""
+        key = (zones, kind, cls)
         found = self.pools.get(key)
         if found is None:
             found = self.pools[key] = [w for w in self.ready.values()
-                                       if (not zones or w.zone in zones) and kind in (-1, w.kind)]
+                                       if (not zones or w.zone in zones) and kind in (-1, w.kind)
+                                       and w.able >> cls & 1]
         return found
 
 
@@ -339,12 +342,13 @@
 class Job:
     """One request, from its arrival until its last attempt has ended."""
 
-    __slots__ = ("id", "cls", "type", "arrived", "ends", "aim_at", "hint", "slots", "memory", "cost",
+    __slots__ = ("id", "index", "cls", "type", "arrived", "ends", "aim_at", "hint", "slots", "memory", "cost",
                  "attempts", "open", "over", "ran_group", "ran_since", "over_share", "seen_start",
                  "looked", "looks_out", "rounds", "started")
 
     def __init__(self, request: Request, cls: ClassSettings, type_: JobType, now: float) -> None:
         self.id = request.id
+        self.index = request.class_index
         self.cls = cls
         self.type = type_
         self.arrived = now
@@ -521,7 +525,7 @@
         Acts where load is reported to probes only: then a look is the only way to know who is
         available, and a fleet of gateways with few jobs each knows nothing without it.
         """
-        pool = self.fleet.pool((), job.cls.kind)
+        pool = self.fleet.pool((), job.cls.kind, job.index)
         fresh = [w for w in self._draw(job, pool, LOOKS)
                  if w not in job.looked and self._usable(w, job, now) == 2]
         job.rounds += 1
@@ -668,7 +672,7 @@
         kind = job.cls.kind
         group = job.ran_group
         zones = self._zones()
-        everywhere = self.fleet.pool(zones, kind)
+        everywhere = self.fleet.pool(zones, kind, job.index)
         if job.looked and not job.attempts:
             answered = [w for w in job.looked if now - w.report_at <= LOOK_TTL_MS]
             if answered:
@@ -681,7 +685,7 @@
             return self._rank(job, now, everywhere)
         near = self.set.zones > 1 and self.cut[self.set.zone] <= CUT
         if near and self.local_busy < LOCAL_BUSY and len(job.attempts) < 2:
-            local, tier = self._rank(job, now, self.fleet.pool((self.set.zone,), kind))
+            local, tier = self._rank(job, now, self.fleet.pool((self.set.zone,), kind, job.index))
             if tier == 0:
                 return local, 0
             other, other_tier = self._rank(job, now, everywhere)
@@ -759,12 +763,12 @@
     def _value(self, job: Job) -> float:
         """What this job's class earns for its time, as a share of the best class's."""
         values = self._values()
-        return values[self.set.classes.index(job.cls)] / (max(values) or 1.0)
+        return values[job.index] / (max(values) or 1.0)
 
     def _late_ms(self, job: Job) -> float:
         """The shortest fixed part of an aim among the classes of no less value, in part."""
         values = self._values()
-        mine = values[self.set.classes.index(job.cls)]
+        mine = values[job.index]
         return STRAIN_LATE * min(c.aim_ms for c, v in zip(self.set.classes, values, strict=True) if v >= mine)
 
     def _saw_start(self, job: Job, delay: float) -> None:
--- /dev/null
+++ b/gaphub/net/gearman.py
@@ -0,0 +1,707 @@
+"""Owns the Gearman front: its listening socket, the sessions of clients and workers, and their jobs.
+
+Submitted jobs go through the core like any request, and a worker that registers a function is a
+destination of the core beside the HTTP ones.  It must never choose a worker, never hand a job out a second
+time by itself, and never say "never ran" of a job once its JOB_ASSIGN was written.  A never-twice job with
+a unique is taken only where its record is kept (``_why_not``).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import os
+import random
+import re
+import struct
+import zlib
+from collections import OrderedDict
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heapify, heappop, heappush
+
+from .. import __version__
+from ..config import Config
+from ..core import Answer, Call, Core, Destination, Ending, Job, Listed, Outcome
+from ..interface import Effect, ListKind, Status, WorkerState
+from ..metrics import Counters
+from ..store import Store
+
+SOURCE = "gearman"
+WORKLOAD_MOST = 64 * 1024
+NAMES_MOST = 2 * 1024  # bytes of a packet besides its workload
+SKIP_MOST = 16 * 1024 * 1024  # an oversized packet up to this is read over; past it the session ends
+WRITE_MOST = 4 * 1024 * 1024  # bytes that a peer may leave unread before its session ends
+SESSIONS_PART = 0.3  # of the descriptors
+QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
+DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
+TICK_S = 0.5
+
+(CAN_DO, CANT_DO, RESET_ABILITIES, PRE_SLEEP, _UNUSED, NOOP, SUBMIT_JOB, JOB_CREATED, GRAB_JOB, NO_JOB,
+ JOB_ASSIGN, WORK_STATUS, WORK_COMPLETE, WORK_FAIL, GET_STATUS, ECHO_REQ, ECHO_RES, SUBMIT_JOB_BG, ERROR,
+ STATUS_RES, SUBMIT_JOB_HIGH, SET_CLIENT_ID, CAN_DO_TIMEOUT, ALL_YOURS, WORK_EXCEPTION, OPTION_REQ,
+ OPTION_RES, WORK_DATA, WORK_WARNING, GRAB_JOB_UNIQ, JOB_ASSIGN_UNIQ, SUBMIT_JOB_HIGH_BG, SUBMIT_JOB_LOW,
+ SUBMIT_JOB_LOW_BG, SUBMIT_JOB_SCHED, SUBMIT_JOB_EPOCH, SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BG,
+ GRAB_JOB_ALL, JOB_ASSIGN_ALL, GET_STATUS_UNIQUE, STATUS_RES_UNIQUE) = range(1, 43)
+
+# Submits: priority (0 is served first) and whether the client waits for the end.
+SUBMITS = {SUBMIT_JOB_HIGH: (0, True), SUBMIT_JOB: (1, True), SUBMIT_JOB_LOW: (2, True),
+           SUBMIT_JOB_HIGH_BG: (0, False), SUBMIT_JOB_BG: (1, False), SUBMIT_JOB_LOW_BG: (2, False)}
+# How many arguments a packet has.
+ARGUMENTS = {
+    CAN_DO: 1, CANT_DO: 1, RESET_ABILITIES: 0, PRE_SLEEP: 0, GRAB_JOB: 0, GRAB_JOB_UNIQ: 0, GRAB_JOB_ALL: 0,
+    WORK_STATUS: 3, WORK_COMPLETE: 2, WORK_FAIL: 1, GET_STATUS: 1, GET_STATUS_UNIQUE: 1, ECHO_REQ: 1,
+    SET_CLIENT_ID: 1, CAN_DO_TIMEOUT: 2, ALL_YOURS: 0, WORK_EXCEPTION: 2, OPTION_REQ: 1, WORK_DATA: 2,
+    WORK_WARNING: 2, **dict.fromkeys(SUBMITS, 3),
+}
+NEWS = {WORK_STATUS: "status", WORK_DATA: "data", WORK_WARNING: "warning", WORK_EXCEPTION: "exception"}
+_HEADER = struct.Struct(">4sII")
+
+
+def pack(kind: int, *arguments: bytes, magic: bytes = b"\0RES") -> bytes:
+    """A packet."""
+    body = b"\0".join(arguments)
+    return _HEADER.pack(magic, kind, len(body)) + body
+
+
+class PacketError(Exception):
+    """A packet that is answered with ERROR and dropped."""
+
+    def __init__(self, code: str, why: str) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """A submitted job: its handle, who waits for it, and how far it is."""
+
+    handle: bytes
+    function: bytes
+    unique: bytes
+    priority: int
+    background: bool
+    listeners: list[Session] = field(default_factory=list)
+    job: Job | None = None
+    running: bool = False
+    progress: tuple[bytes, bytes] = (b"0", b"0")
+
+
+@dataclass(slots=True)
+class End:
+    """The recorded end of a job with a unique; ``body`` None: the result is kept no longer."""
+
+    handle: bytes
+    ending: Ending
+    body: bytes | None
+    expires: float
+
+
+@dataclass(slots=True, eq=False)
+class Assigned:
+    """A call that a worker has grabbed."""
+
+    call: Call | None  # None: called off; the worker works on, and nobody waits
+    until: float  # by the worker's own CAN_DO_TIMEOUT
+    parts: bytearray = field(default_factory=bytearray)
+
+
+class Session:
+    """One connection, of a client, a worker or both; its handler task is its owner."""
+
+    def __init__(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.number = number
+        self.reader = reader
+        self.writer = writer
+        self.name = f"w{number}"
+        self.client_id = b"-"
+        self.exceptions = False
+        self.waits_for: set[Work] = set()
+        self.abilities: dict[bytes, float] = {}
+        self.asleep = False
+        self.told: tuple[int, int] | None = None  # what the core knows: state and abilities
+        self.queue: list[tuple[int, int, bytes, Call]] = []  # heap: priority, order, handle
+        self.assigned: dict[bytes, Assigned] = {}
+        self.latency_ms = 0.0
+
+    def send(self, kind: int, *arguments: bytes) -> None:
+        """Write a packet; a peer that does not read loses its session instead of growing the buffer."""
+        transport = self.writer.transport
+        if transport.is_closing():
+            return
+        self.writer.write(pack(kind, *arguments))
+        if transport.get_write_buffer_size() > WRITE_MOST:
+            transport.abort()
+
+
+class Gearman:
+    """The front and the port of Gearman's workers."""
+
+    def __init__(self, config: Config, core: Core, counters: Counters, store: Store,
+                 shutdown: Callable[[], None]) -> None:
+        self.core = core
+        self.counters = counters
+        self.store = store
+        self.shutdown = shutdown
+        self.set = config.fronts.gearman
+        self.at = config.fronts.gearman_at()
+        self.classes = {name: i for i, name in enumerate(config.class_names)}
+        self.me = config.settings.me
+        self.daemons = config.settings.balancers
+        self.most = int(config.limits.sockets * SESSIONS_PART)
+        self.hold_until = core.clock.now() + self.set.keep_s * 1000.0 if self.set.hold_after_start else 0.0
+        self.leaving = False
+        self._random = random.Random(config.seed)
+        self._prefix = f"H:{config.name}:{self._random.getrandbits(24):06x}:".encode()
+        self._serial = 0
+        self._server: asyncio.Server | None = None
+        self._handlers: dict[asyncio.Task[None], Session] = {}
+        self._workers: dict[str, Session] = {}
+        self._works: dict[bytes, Work] = {}  # by handle, while they run
+        self._by_unique: dict[tuple[bytes, bytes], Work] = {}
+        self._ends: OrderedDict[tuple[bytes, bytes], End] = OrderedDict()  # oldest first
+        self._ends_bytes = 0
+        self._max_queue: dict[bytes, int] = {}
+
+    # -- life --
+
+    async def open(self) -> None:
+        """Listen, where the deploy file names an address."""
+        if self.at is not None:
+            self._server = await asyncio.start_server(self._serve, *self.at, backlog=256)
+
+    async def run(self) -> None:
+        """Forget ends that have expired and end what outlasts a worker's own time-out."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.core.clock.now()
+            while self._ends and next(iter(self._ends.values())).expires <= now:
+                self._forget_end(next(iter(self._ends)))
+            for session in list(self._workers.values()):
+                for handle, assigned in list(session.assigned.items()):
+                    if assigned.call is not None and now >= assigned.until:
+                        self.counters.add("gearman.worker_timeouts")
+                        await self._end(session, handle, Outcome(Status.TIMEOUT))
+                        session.writer.transport.abort()  # the job may be out there no longer than its call
+
+    async def close(self) -> None:
+        """Give back the listening socket and every session."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._handlers):
+            task.cancel()
+        if self._handlers:
+            await asyncio.wait(list(self._handlers))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serial += 1
+        session = Session(self._serial, reader, writer)
+        self._handlers[task] = session
+        try:
+            if len(self._handlers) <= self.most:
+                self.counters.add("connections.gearman")
+                await self._read(session)
+            else:
+                self.counters.add("connections.gearman_refused")
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass
+        finally:
+            del self._handlers[task]
+            writer.transport.abort()
+            await self._lost(session)
+
+    async def _read(self, session: Session) -> None:
+        """Packets and text commands, one at a time, until the peer goes or is out of step."""
+        reader, writer = session.reader, session.writer
+        while True:
+            first = await reader.readexactly(1)
+            if first != b"\0":
+                if first != b"\n":
+                    line = (first + await reader.readuntil(b"\n")).decode("latin-1").split()
+                    writer.write(await self._command(line))
+                    await writer.drain()
+                continue
+            magic, kind, size = _HEADER.unpack(first + await reader.readexactly(_HEADER.size - 1))
+            if magic != b"\0REQ" or size > SKIP_MOST:
+                self.counters.log("garbled.packet", f"magic {magic!r}, size {size}")
+                return
+            try:
+                if size > WORKLOAD_MOST + NAMES_MOST:
+                    while size:
+                        size -= len(await reader.readexactly(min(size, WORKLOAD_MOST)))
+                    raise PacketError("too_large", "packet too large")
+                data = await reader.readexactly(size)
+                await self._packet(session, kind, data)
+            except PacketError as error:
+                self.counters.log("garbled.packet", f"type {kind}: {error}")
+                session.send(ERROR, error.code.encode(), str(error).encode())
+            await writer.drain()
+
+    async def _lost(self, session: Session) -> None:
+        """A session ended: its queued calls never ran, its grabbed ones may have."""
+        for work in list(session.waits_for):
+            work.listeners = [s for s in work.listeners if s is not session]
+            # A job with a unique runs on: its client may believe it lost and submit it again.
+            if not work.listeners and not work.background and not work.unique and work.job is not None:
+                self._works.pop(work.handle, None)
+                await self.core.post(partial(self.core.gone, work.job))
+        session.waits_for.clear()
+        if session.told is not None:
+            self._workers.pop(session.name, None)
+            await self._tell(session, WorkerState.GONE, 0)
+        queued, session.queue = session.queue, []
+        for _, _, _, call in queued:
+            await self.core.post(partial(self.core.ended, call, Outcome(Status.CONNECT_FAILED)))
+        for handle in list(session.assigned):
+            await self._end(session, handle, Outcome(Status.RESET))
+
+    # -- packets --
+
+    async def _packet(self, session: Session, kind: int, data: bytes) -> None:
+        count = ARGUMENTS.get(kind)
+        if count is None:
+            raise PacketError("unknown_command", f"unknown packet type {kind}")
+        arguments = data.split(b"\0", count - 1) if count else []
+        if len(arguments) != count or (not count and data):
+            raise PacketError("invalid_packet", f"{len(arguments)} arguments instead of {count}")
+        self.counters.add("gearman.packets")
+        if kind in SUBMITS:
+            self._submit(session, kind, *arguments)
+        elif kind in (GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL):
+            await self._grab(session, kind)
+        elif kind == PRE_SLEEP:
+            session.asleep = True
+            self._wake(session)
+        elif kind in NEWS:
+            await self._news(session, kind, arguments)
+        elif kind in (WORK_COMPLETE, WORK_FAIL):
+            await self._finish(session, kind, arguments)
+        elif kind in (CAN_DO, CAN_DO_TIMEOUT, CANT_DO, RESET_ABILITIES):
+            await self._abilities(session, kind, arguments)
+        elif kind == GET_STATUS:
+            work = self._works.get(arguments[0])
+            session.send(STATUS_RES, arguments[0], *_status(work))
+        elif kind == GET_STATUS_UNIQUE:
+            found = [w for (_, unique), w in self._by_unique.items() if unique == arguments[0]]
+            work = found[0] if found else None
+            waiting = len(work.listeners) if work is not None else 0
+            session.send(STATUS_RES_UNIQUE, arguments[0], *_status(work), b"%d" % waiting)
+        elif kind == ECHO_REQ:
+            session.send(ECHO_RES, data)
+        elif kind == SET_CLIENT_ID:
+            session.client_id = re.sub(rb"[^!-~]", b"_", arguments[0])[:64] or b"-"
+        elif kind == OPTION_REQ:
+            if arguments[0] != b"exceptions":
+                raise PacketError("unknown_option", "unknown option")
+            session.exceptions = True
+            session.send(OPTION_RES, arguments[0])
+
+    # -- the client's side --
+
+    def _functions(self) -> dict[bytes, str]:
+        """Function to class: the deploy file's, and what the store's configuration adds."""
+        found = {name.encode(): cls for name, cls in self.set.functions.items()}
+        for key, cls in self.store.items("config/functions/", self.core.clock.now()):
+            if cls.decode() in self.classes:
+                found[key.removeprefix("config/functions/").encode()] = cls.decode()
+        return found
+
+    def _class_of(self, function: bytes) -> int | None:
+        name = self.set.functions.get(function.decode("latin-1"))
+        if name is None:
+            stored = self.store.get("config/functions/" + function.decode("latin-1"), self.core.clock.now())
+            name = stored.decode() if stored else ""
+        return self.classes.get(name)
+
+    def _submit(self, session: Session, kind: int, function: bytes, unique: bytes, workload: bytes) -> None:
+        priority, waits = SUBMITS[kind]
+        class_index = self._class_of(function)
+        if class_index is None:
+            raise PacketError("unknown_function", "no class is set for this function")
+        if len(workload) > WORKLOAD_MOST or len(function) + len(unique) > NAMES_MOST:
+            raise PacketError("too_large", "job too large")
+        if unique == b"-":  # the protocol's word for: the workload itself
+            unique = hashlib.blake2b(workload, digest_size=16).hexdigest().encode()
+        key = (function, unique)
+        work = self._by_unique.get(key) if unique else None
+        if work is not None:
+            self.counters.add("gearman.joined")
+            session.send(JOB_CREATED, work.handle)
+            self._listen(session, work, waits)
+            return
+        end = self._ends.get(key) if unique else None
+        if end is not None and end.expires > self.core.clock.now():
+            self.counters.add("gearman.recorded")
+            session.send(JOB_CREATED, end.handle)
+            if waits:
+                _tell_end(session, end.handle, end.ending, end.body)
+            return
+        why = self._why_not(class_index, key) if unique else ""
+        limit = self._max_queue.get(function, 0)
+        if not why and 0 < limit <= sum(w.function == function and not w.running
+                                        for w in self._works.values()):
+            why = "queue_full"
+        if why or self.leaving:
+            raise PacketError(why or "leaving", "refused; it did not run")
+        self._serial += 1
+        work = Work(self._prefix + b"%d" % self._serial, function, unique, priority, not waits)
+        now = self.core.clock.now()
+        job = Job(f"{self._random.getrandbits(64):016x}", class_index, now,
+                  self.core.settings.classes[class_index].deadline_ms, partial(self._answered, work),
+                  workload, news=partial(self._told, work), front=work)
+        work.job = job
+        if not self.core.offer(job):
+            raise PacketError("busy", "refused; it did not run")
+        self._works[work.handle] = work
+        if unique:
+            self._by_unique[key] = work
+            if self._never_twice(class_index):
+                self.store.put(_claim(key), b"running", now, self.set.keep_s * 1000.0)
+        self.counters.add("gearman.submitted")
+        session.send(JOB_CREATED, work.handle)
+        self._listen(session, work, waits)
+
+    def _never_twice(self, class_index: int) -> bool:
+        return self.core.settings.classes[class_index].effect != Effect.SAFE
+
+    def _why_not(self, class_index: int, key: tuple[bytes, bytes]) -> str:
+        """Why a never-twice job with a unique is refused: where no record could tell of an earlier run.
+
+        A unique has one home among the daemons; a daemon that has just started may have run it in its
+        former life; and a replicated claim without a record here says that somebody took it.
+        """
+        if not self._never_twice(class_index):
+            return ""
+        now = self.core.clock.now()
+        if zlib.crc32(b"\0".join(key)) % self.daemons != self.me:
+            return "not_home"
+        if now < self.hold_until:
+            return "just_started"
+        if self.store.get(_claim(key), now) is not None:
+            return "claimed"
+        if len(self._ends) + len(self._by_unique) >= self.set.ends_most:
+            return "no_room"
+        return ""
+
+    def _listen(self, session: Session, work: Work, waits: bool) -> None:
+        if waits:
+            work.listeners.append(session)
+            session.waits_for.add(work)
+        else:
+            work.background = True
+
+    def _told(self, work: Work, kind: str, arguments: tuple[bytes, ...]) -> None:
+        """News of a running job, from the core, for all who wait."""
+        if kind == "started":
+            work.running = True
+        elif kind == "status":
+            work.progress = (arguments[0], arguments[1])
+        for packet, name in NEWS.items():
+            if name == kind:
+                for session in work.listeners:
+                    if packet != WORK_EXCEPTION or session.exceptions:
+                        session.send(packet, work.handle, *arguments)
+
+    def _answered(self, work: Work, answer: Answer) -> None:
+        """The final answer of a job, from the core: record it, then tell all who wait."""
+        self._works.pop(work.handle, None)
+        key = (work.function, work.unique)
+        assert work.job is not None
+        if work.unique:
+            self._by_unique.pop(key, None)
+            never_twice = self._never_twice(work.job.class_index)
+            now = self.core.clock.now()
+            if answer.ending is Ending.SERVED or (answer.ending is Ending.FAILED and never_twice):
+                end = End(work.handle, answer.ending, answer.body, now + self.set.keep_s * 1000.0)
+                self._ends[key] = end
+                self._ends_bytes += len(answer.body)
+                self._trim()
+                if never_twice:
+                    self.store.put(_claim(key), answer.ending.value.encode(), now, self.set.keep_s * 1000.0)
+            elif never_twice:
+                self.store.delete(_claim(key), now)  # it never ran: it may be submitted again
+        for session in work.listeners:
+            session.waits_for.discard(work)
+            _tell_end(session, work.handle, answer.ending, answer.body)
+        work.listeners.clear()
+
+    def _trim(self) -> None:
+        """Bound the record: results go first, then ends of jobs that may be repeated."""
+        if self._ends_bytes > self.set.ends_bytes:
+            for end in self._ends.values():
+                if end.body:
+                    self._ends_bytes -= len(end.body)
+                    end.body = None
+                    if self._ends_bytes <= self.set.ends_bytes * 0.9:
+                        break
+        if len(self._ends) > self.set.ends_most:
+            for key in self._ends:
+                if not self._never_twice(self._class_of(key[0]) or 0):
+                    self._forget_end(key)
+                    break
+
+    def _forget_end(self, key: tuple[bytes, bytes]) -> None:
+        self._ends_bytes -= len(self._ends.pop(key).body or b"")
+
+    # -- the worker's side --
+
+    async def _abilities(self, session: Session, kind: int, arguments: list[bytes]) -> None:
+        if kind == RESET_ABILITIES:
+            session.abilities.clear()
+        elif kind == CANT_DO:
+            session.abilities.pop(arguments[0], None)
+        else:
+            if kind == CAN_DO_TIMEOUT and not re.fullmatch(rb"\d{1,9}", arguments[1]):
+                raise PacketError("invalid_packet", "time-out is not a number")
+            if len(session.abilities) >= 256:
+                raise PacketError("too_many", "too many functions")
+            session.abilities[arguments[0]] = float(arguments[1]) if kind == CAN_DO_TIMEOUT else 0.0
+        able = 0
+        for function in session.abilities:
+            class_index = self._class_of(function)
+            if class_index is not None:
+                able |= 1 << class_index
+        self._workers[session.name] = session
+        await self._tell(session, WorkerState.READY if able else WorkerState.DRAINING, able)
+        kept = [q for q in session.queue if able >> q[3].job.class_index & 1]
+        dropped = [q for q in session.queue if q not in kept]
+        session.queue = kept
+        heapify(session.queue)
+        for _, _, _, call in dropped:  # it can do them no longer: they never ran
+            await self.core.post(partial(self.core.ended, call, Outcome(Status.FULL)))
+
+    async def _tell(self, session: Session, state: WorkerState, able: int) -> None:
+        if session.told == (state, able) or (session.told is None and state != WorkerState.READY):
+            return
+        session.told = (state, able)
+        kinds = [c.kind for i, c in enumerate(self.core.settings.classes) if able >> i & 1 and c.kind >= 0]
+        entry = Listed(session.name, session.name, state, kind=kinds[0] if kinds else 0,
+                       zone=self.core.settings.zone, able=able)
+        await self.core.post(partial(self.core.listed, SOURCE, ListKind.CHANGES, [entry]))
+
+    def _wake(self, session: Session) -> None:
+        if session.asleep and session.queue:
+            session.asleep = False
+            session.send(NOOP)
+
+    async def _grab(self, session: Session, kind: int) -> None:
+        session.asleep = False
+        if not session.queue:
+            session.send(NO_JOB)
+            return
+        _, _, handle, call = heappop(session.queue)
+        work = call.job.front if isinstance(call.job.front, Work) else None
+        function = self._function_for(session, work, call.job.class_index)
+        limit = session.abilities.get(function, 0.0)
+        until = self.core.clock.now() + limit * 1000.0 if limit > 0 else 1e18
+        session.assigned[handle] = Assigned(call, until)
+        call.written = True
+        self.counters.add("gearman.assigned")
+        head = [handle, function]
+        if kind != GRAB_JOB:
+            head.append(work.unique if work is not None else b"")
+        if kind == GRAB_JOB_ALL:
+            head.append(b"")  # no reducer
+        assign = {GRAB_JOB: JOB_ASSIGN, GRAB_JOB_UNIQ: JOB_ASSIGN_UNIQ, GRAB_JOB_ALL: JOB_ASSIGN_ALL}[kind]
+        session.send(assign, *head, call.job.body)
+        await self.core.post(partial(self.core.started, call))
+
+    def _function_for(self, session: Session, work: Work | None, class_index: int) -> bytes:
+        """The name under which this worker knows the class; the client's own where it can."""
+        if work is not None and work.function in session.abilities:
+            return work.function
+        return next((f for f in session.abilities if self._class_of(f) == class_index), b"")
+
+    def _assigned(self, session: Session, handle: bytes) -> Assigned:
+        assigned = session.assigned.get(handle)
+        if assigned is None:
+            raise PacketError("job_not_found", "no such job is with this worker")
+        return assigned
+
+    async def _news(self, session: Session, kind: int, arguments: list[bytes]) -> None:
+        assigned = self._assigned(session, arguments[0])
+        call = assigned.call
+        if call is None:
+            return
+        if kind == WORK_DATA and not isinstance(call.job.front, Work):
+            if len(assigned.parts) + len(arguments[1]) > DATA_MOST:
+                raise PacketError("too_large", "partial results too large")
+            assigned.parts += arguments[1]
+        if kind == WORK_STATUS:
+            with suppress(ValueError, ZeroDivisionError):
+                share = float(arguments[1]) / float(arguments[2])
+                await self.core.post(partial(self.core.progressed, call, min(1.0, max(0.0, share))))
+        await self.core.post(partial(self.core.news, call, NEWS[kind], tuple(arguments[1:])))
+
+    async def _finish(self, session: Session, kind: int, arguments: list[bytes]) -> None:
+        assigned = self._assigned(session, arguments[0])
+        if kind == WORK_FAIL:
+            await self._end(session, arguments[0], Outcome(Status.ERROR))
+        else:
+            await self._end(session, arguments[0], Outcome(Status.OK, bytes(assigned.parts) + arguments[1]))
+
+    async def _end(self, session: Session, handle: bytes, outcome: Outcome) -> None:
+        call = session.assigned.pop(handle).call
+        if call is None or call.over:
+            return
+        call.over = True
+        took = self.core.clock.now() - call.sent_at
+        session.latency_ms += (took - session.latency_ms) * (0.2 if session.latency_ms else 1.0)
+        outcome.report = self._report(session)
+        await self.core.post(partial(self.core.ended, call, outcome))
+
+    def _report(self, session: Session) -> tuple[float, ...]:
+        """What a worker of the other wire would say of its load; it runs one job at a time."""
+        held = len(session.queue) + len(session.assigned)
+        values = {"free_slots": float(max(0, 1 - held)), "queue": float(len(session.queue)),
+                  "inflight": float(held), "latency_ms": session.latency_ms}
+        return tuple(values.get(f, 0.0) for f in self.core.settings.report_fields)
+
+    # -- the port of the core --
+
+    def start(self, call: Call) -> Outcome | None:
+        """Queue a call for its worker's next grab."""
+        session = self._workers.get(call.destination.listed.name)
+        if session is None or session.writer.transport.is_closing():
+            return Outcome(Status.CONNECT_FAILED)
+        if len(session.queue) >= QUEUE_MOST:
+            return Outcome(Status.FULL, report=self._report(session))
+        work = call.job.front if isinstance(call.job.front, Work) else None
+        self._serial += 1
+        handle = work.handle if work is not None else self._prefix + b"%d" % self._serial
+        heappush(session.queue, (work.priority if work is not None else 1, self._serial, handle, call))
+        self._wake(session)
+        return None
+
+    def cancel(self, call: Call) -> Outcome | None:
+        """Call off: a queued call is taken back; a grabbed one is abandoned or its session ended."""
+        session = self._workers.get(call.destination.listed.name)
+        if session is None or call.over:
+            return None  # its outcome is on the way
+        queued = [q for q in session.queue if q[3] is not call]
+        if len(queued) < len(session.queue):
+            session.queue = queued
+            heapify(session.queue)
+            call.over = True
+            return Outcome(Status.CANCELLED)
+        for assigned in session.assigned.values():
+            if assigned.call is call:
+                call.over = True
+                assigned.call = None
+                if not call.job.answered:
+                    # The request goes on elsewhere: no attempt may be out on an open connection then.
+                    session.writer.transport.abort()
+                return Outcome(Status.CANCELLED)
+        return None
+
+    def probe(self, destination: Destination) -> tuple[Status, tuple[float, ...]] | None:
+        """Known here without asking anybody."""
+        session = self._workers.get(destination.listed.name)
+        if session is None:
+            return Status.CONNECT_FAILED, ()
+        return Status.OK, self._report(session)
+
+    def close_idle(self, destination: Destination) -> None:
+        """A worker's one connection is its own to close."""
+
+    def forget(self, destination: Destination) -> None:
+        """A session that ended has given back everything already."""
+
+    # -- the text commands --
+
+    async def _command(self, words: list[str]) -> bytes:
+        self.counters.add("gearman.commands")
+        text = " ".join(words[:2])
+        if text == "status":
+            return self._status_lines()
+        if text == "workers":
+            lines = []
+            for s in self._handlers.values():
+                host = (s.writer.get_extra_info("peername") or ("-",))[0]
+                names = b" ".join(s.abilities).decode("latin-1")
+                lines.append(f"{s.number} {host} {s.client_id.decode('latin-1')} : {names}".rstrip())
+            return _lines(lines)
+        if text == "version":
+            return f"OK {__version__}\n".encode()
+        if text == "getpid":
+            return f"OK {os.getpid()}\n".encode()
+        if words[0] == "maxqueue" and 2 <= len(words) <= 5 and all(re.fullmatch(r"\d{1,9}", w)
+                                                                   for w in words[2:]):
+            self._max_queue[words[1].encode("latin-1")] = int(words[2]) if len(words) > 2 else 0
+            return b"OK\n"
+        if words[0] == "shutdown" and words[1:] in ([], ["graceful"]):
+            self.shutdown()
+            return b"OK\n"
+        if text == "show jobs":
+            return _lines([f"{w.handle.decode('latin-1')}\t{_retries(w)}\t0\t{int(not w.running)}"
+                           for w in self._works.values()])
+        if text == "show unique" and words[2:] == ["jobs"]:
+            return _lines([unique.decode("latin-1") for _, unique in self._by_unique])
+        if text == "cancel job" and len(words) == 3:
+            return await self._cancel_job(words[2].encode("latin-1"))
+        if text == "create function" and len(words) == 4:
+            if words[3] not in self.classes:
+                return b"ERR UNKNOWN_CLASS No+such+class\n"
+            key = f"config/functions/{words[2]}"
+            return b"OK\n" if self.store.put(key, words[3].encode(), self.core.clock.now()) else \
+                b"ERR NO_ROOM Not+stored\n"
+        if text == "drop function" and len(words) == 3:
+            if self.store.get(f"config/functions/{words[2]}", self.core.clock.now()) is None:
+                return b"ERR UNKNOWN_FUNCTION Not+in+the+store\n"
+            self.store.delete(f"config/functions/{words[2]}", self.core.clock.now())
+            return b"OK\n"
+        return b"ERR UNKNOWN_COMMAND Unknown+server+command\n"
+
+    def _status_lines(self) -> bytes:
+        functions = set(self._functions()) | {w.function for w in self._works.values()}
+        lines = []
+        for function in sorted(functions):
+            works = [w for w in self._works.values() if w.function == function]
+            able = sum(function in s.abilities for s in self._workers.values())
+            running = sum(w.running for w in works)
+            lines.append(f"{function.decode('latin-1')}\t{len(works)}\t{running}\t{able}")
+        return _lines(lines)
+
+    async def _cancel_job(self, handle: bytes) -> bytes:
+        """Only a job that has not been handed out can be taken back."""
+        work = self._works.get(handle)
+        if work is None or work.job is None:
+            return b"ERR UNKNOWN_JOB No+such+job\n"
+        if work.running:
+            return b"ERR JOB_RUNNING It+has+begun\n"
+        await self.core.post(partial(self.core.withdraw, work.job))
+        return b"OK\n"
+
+
+def _status(work: Work | None) -> tuple[bytes, bytes, bytes, bytes]:
+    if work is None:
+        return b"0", b"0", b"0", b"0"
+    return (b"1", b"1" if work.running else b"0", *work.progress)
+
+
+def _retries(work: Work) -> int:
+    return max(0, len(work.job.calls) - 1) if work.job is not None else 0
+
+
+def _claim(key: tuple[bytes, bytes]) -> str:
+    return "state/jobs/" + hashlib.blake2b(b"\0".join(key), digest_size=16).hexdigest()
+
+
+def _tell_end(session: Session, handle: bytes, ending: Ending, body: bytes | None) -> None:
+    if ending is Ending.SERVED and body is not None:
+        session.send(WORK_COMPLETE, handle, body)
+        return
+    if session.exceptions:
+        why = "refused; it did not run" if ending is Ending.REFUSED else "failed; it may have run"
+        if ending is Ending.SERVED:
+            why = "served; the result is kept no longer"
+        session.send(WORK_EXCEPTION, handle, why.encode())
+    session.send(WORK_FAIL, handle)
+
+
+def _lines(lines: list[str]) -> bytes:
+    return "".join(line + "\n" for line in [*lines, "."]).encode("latin-1", "replace")
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -251,7 +251,7 @@
     # -- probes --
 
     def probe(self, destination: Destination) -> None:
-        """Ask a worker for its load."""
+        """Ask a worker for its load; the answer follows."""
         self._tasks.start(self._probe(destination, self._pool(destination)))
 
     async def _probe(self, destination: Destination, pool: Pool) -> None:
@@ -297,7 +297,12 @@
             async with asyncio.timeout((call.ends - self.core.clock.now()) / 1000.0):
                 outcome.status = Status.CONNECT_FAILED
                 wire = await pool.take()
-                await self._write(call, wire)
+                call.written = True
+                try:
+                    await self._write(call, wire)
+                except NeverWrittenError:
+                    call.written = False
+                    raise
                 outcome.status = Status.RESET
                 outcome = await self._outcome(call, wire)
         except TimeoutError:
--- a/gaphub/wire.py
+++ b/gaphub/wire.py
@@ -97,7 +97,7 @@
 
 def parse_entries(data: bytes) -> list[ListedWorker]:
     """The entries of a worker list."""
-    return [ListedWorker._make(e) for e in ENTRY.iter_unpack(data)]
+    return [ListedWorker(*e) for e in ENTRY.iter_unpack(data)]
 
 
 def reply(number: int, records: list[bytes], tail: bytes) -> bytes:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,7 +6,8 @@
 ``u`` is a peer.  ``#`` starts a comment line.
 
     send    a macro of that actor (see ``_Cast.render``), or bytes with escapes
-    expect  a regular expression in what the actor has received since its last expect
+    expect  a regular expression in what the actor has received since its last expect; ``#N`` at its
+            start stands for the head of a Gearman packet of type N, a named group is kept as ``$NAME``
     close   end the connection; ``expect-close`` waits until the other side does
     wait    ``wait MS``; ``term``: SIGTERM's effect; ``count NAME N``: a counter's value
 """
@@ -16,6 +17,7 @@
 import asyncio
 import json
 import re
+import socket
 import struct
 from contextlib import suppress
 from typing import Any
@@ -52,14 +54,14 @@
             self.reader, self.writer = await self.next.get()
             self.seen = b""
 
-    async def expect(self, pattern: str) -> None:
+    async def expect(self, pattern: str) -> dict[str, str]:
         await self.ready()
         assert self.reader is not None
         while True:
-            found = re.search(pattern.encode(), self.seen, re.S)
+            found = re.search(pattern.encode("latin-1"), self.seen, re.S)
             if found:
                 self.seen = self.seen[found.end():]
-                return
+                return {k: v.decode("latin-1") for k, v in found.groupdict().items()}
             data = await self.reader.read(65536)
             assert data, f"closed before {pattern!r}; had {self.seen!r}"
             self.seen += data
@@ -86,6 +88,7 @@
         self.servers: list[asyncio.Server] = []
         self.ports: dict[str, int] = {}
         self.counters = Counters()
+        self.kept: dict[str, str] = {}
         self.stop = asyncio.Event()
 
     async def _listen(self, name: str) -> None:
@@ -98,21 +101,19 @@
         self.servers.append(server)
         self.ports[name] = server.sockets[0].getsockname()[1]
 
-    def _free(self) -> int:
-        return free_port()
-
     async def __aenter__(self) -> Cast:
         for name in ("w", "x", "d"):
             await self._listen(name)
         known = self.more.pop("known", "w")
         settings = {**SETTINGS, **self.more.pop("settings", {})}
+        fronts = self.more.pop("fronts", "").replace("PORT", str(free_port()))
         file = {
-            "name": "n0", "listen": f"127.0.0.1:{self._free()}", "seed": "a1", "settings": settings,
+            "name": "n0", "listen": f"127.0.0.1:{free_port()}", "seed": "a1", "settings": settings,
             "discovery": f"127.0.0.1:{self.ports['d']}",
             "known": {"version": 41, "full": True, "servers": [self.entry(n) for n in known.split()]},
             **self.more,
         }
-        self.config = conf.from_text(json.dumps(file).encode(), {}, self.more.pop("fronts", ""))
+        self.config = conf.from_text(json.dumps(file).encode(), {}, fronts)
         self.task = asyncio.create_task(serve(self.config, self.counters, self.stop))
         for _ in range(500):
             if self.counters.values["ready"]:
@@ -176,8 +177,8 @@
             text = json.dumps({"version": int(version), "full": how == "full", "servers": servers})
             return f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode()
         data = text.encode().decode("unicode_escape").encode("latin-1")
-        if name[0] == "g" and word.isdecimal():  # TYPE ARGUMENTS, NUL as \0: a packet of Gearman
-            packet = data.partition(b" ")[2]
+        if name[0] == "g" and word.isdecimal():  # TYPE ARGUMENTS, NUL as |: a packet of Gearman
+            packet = data.partition(b" ")[2].replace(b"|", b"\0")
             return b"\0REQ" + struct.pack(">II", int(word), len(packet)) + packet
         return data
 
@@ -211,10 +212,15 @@
             if verb == "send":
                 await side.ready()
                 assert side.writer is not None
+                for kept, value in self.kept.items():
+                    rest = rest.replace(f"${kept}", value)
                 side.writer.write(self.render(actor, rest))
                 await side.writer.drain()
             elif verb == "expect":
-                await side.expect(rest)
+                if rest.startswith("#"):
+                    kind, _, rest = rest[1:].partition(" ")
+                    rest = f"\\x00RES\\x00\\x00\\x00\\x{int(kind):02x}.{{4}}{rest}"
+                self.kept |= await side.expect(rest)
             elif verb == "expect-close":
                 await side.end()
             elif verb == "close":
@@ -227,8 +233,6 @@
 
 def free_port() -> int:
     """A port of loopback that nobody listens on."""
-    import socket
-
     with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
         port: int = s.getsockname()[1]
