A key is a type from its first job, and stays where it was fetched

Cause: keys were types only after 24 jobs, so each job of a key went somewhere else, fetched again, and jammed the shared store; looks also drew from all zones, at the price of crossing. Change, inside the design: key and class are the type from the first job; it borrows its class's profile, with the measured cost of a fetch for workers that have not met the key; the sample is drawn in proportion to the shares by key and worker, alike at every gateway; gaps are per key; two looks a round, the first in the own zone.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -47,7 +47,7 @@
 START_MS = 25.0  # ms; the start delay assumed before any was seen (a handshake and a tick or two)
 COPY_FULL = 0.04  # share of attempts turned away as full at which no job may wait in two places
 COPY_SLACK = 0.1  # share of a job's slack that passes before each further place in a queue
-LOOKS = 4  # workers probed before a send, where only probes report and a probe is cheap
+LOOKS = 2  # workers probed before a send, where only probes report and a probe is cheap; more stray
 LOOK_ROUNDS = 2  # rounds of looks before a job goes to a worker that is not free
 LOOK_PRICE = 0.02  # points of the goal that the looks of a request may cost
 LOOK_MS = 12.0  # ms; what has not answered a look by then is left out: a job is held no longer
@@ -76,9 +76,10 @@
 SHED_VALUE = 0.6  # more strain for the most valuable work, by the root of the value of its class's time
 SHED_WIDTH = 0.3  # strain from the first shed request of a value to all of them
 SEEN_FADE = 0.995  # a report; how fast the view of this gateway's part of all traffic fades
-KEY_SEEN = 24  # requests with a key before it is a type of its own
-KEYS_MAX = 64  # keys that are types of their own; the rest fall back to their class
-KEYS_COUNTED = 2_048  # keys counted at once
+KEYS_MAX = 1_024  # keys that are types of their own at once; the longest unused is forgotten
+MET_MS = 40_000.0  # ms; a worker that ran a key so lately still holds what its jobs need
+FETCH = 0.8  # of the log of a response time; what fetching it adds, before any was measured
+FETCH_STEP = 0.03  # share; how fast the view of that moves with each served job
 WATCH_SPREAD = 0.6  # share of the ask interval over which gateways spread their first call
 RETRY_LIST_MS = 700.0  # ms; the first wait after a failed call for the list; doubles, jittered
 LOG_LINES = 12  # lines in all; an instance tells of rare changes only
@@ -93,7 +94,7 @@
     """What this gateway knows of one type of job: counts in flight, response times, shares."""
 
     __slots__ = ("n", "counts", "samples", "served", "mean", "rates", "kind_rates", "total", "top",
-                 "solve_at", "stale")
+                 "solve_at", "stale", "met_mean", "unmet_mean")
 
     def __init__(self, kinds: int, first_mean: float) -> None:
         self.n = 0
@@ -107,10 +108,26 @@
         self.top = 1.0
         self.solve_at = 0.0
         self.stale = True
+        self.met_mean = 0.0  # of log(ms) over the mean, where the worker had met the key
+        self.unmet_mean = FETCH
 
-    def add(self, now: float, worker: Worker, ms: float) -> None:
-        """Take in a served job's response time (per hinted ms, where there is a hint)."""
+    @property
+    def fetch(self) -> float:
+        """How much longer, as a logarithm, a job takes where its key has not been met."""
+        return min(2.0, max(0.3, self.unmet_mean - self.met_mean))
+
+    def add(self, now: float, worker: Worker, ms: float, met: bool | None = None) -> None:
+        """Take in a served job's response time (per hinted ms, where there is a hint).
+
+        ``met``: whether the worker had run the job's key lately; None: it has no key.
+        """
         x = log(ms)
+        if met is not None:
+            if met:
+                self.met_mean += (x - self.mean - self.met_mean) * FETCH_STEP
+            else:
+                self.unmet_mean += (x - self.mean - self.unmet_mean) * FETCH_STEP
+                x -= self.fetch  # the profile is that of jobs that need fetch nothing
         self.served += 1
         self.mean += (x - self.mean) * max(MEAN_STEP, 1.0 / (self.served + 1))
         entry = self.samples.get(worker.id)
@@ -157,6 +174,43 @@
             self.stale = True
 
 
+class KeyType:
+    """A type that is a key: its counts, and which workers ran it lately.
+
+    A key is met too seldom for profiles of its own, so it borrows its class's: of a worker that has met
+    it the measured profile, of the others that profile with a fetch.
+    """
+
+    __slots__ = ("base", "n", "counts", "met", "draw", "key")
+
+    def __init__(self, key: int, base: JobType) -> None:
+        self.key = key
+        self.base = base
+        self.n = 0
+        self.counts: dict[int, int] = {}
+        self.met: dict[int, float] = {}  # worker: when it last got a job of this key
+        self.draw: dict[int, float] = {}  # worker: its exponential draw, the same at every gateway
+
+    def has_met(self, worker: int, now: float) -> bool:
+        """Whether a worker still holds what jobs of this key need."""
+        at = self.met.get(worker)
+        return at is not None and now - at < MET_MS
+
+    def order(self, w: Worker, rate: float) -> float:
+        """The place of a worker in a draw without return, in proportion to the shares.
+
+        The draw comes from the key and the worker alone, so every gateway draws alike and a key stays
+        where it was fetched.
+        """
+        e = self.draw.get(w.id)
+        if e is None:
+            x = (self.key ^ (w.id * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
+            x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+            x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
+            e = self.draw[w.id] = -log(((x ^ (x >> 31)) + 1.0) / 18446744073709551617.0)
+        return e / rate
+
+
 # --- the worker: availability, health, cold start ----------------------------------------------
 
 
@@ -342,15 +396,18 @@
 class Job:
     """One request, from its arrival until its last attempt has ended."""
 
-    __slots__ = ("id", "index", "cls", "type", "arrived", "ends", "aim_at", "hint", "slots", "memory", "cost",
-                 "attempts", "open", "over", "ran_group", "ran_since", "over_share", "seen_start",
-                 "looked", "looks_out", "rounds", "started")
+    __slots__ = ("id", "index", "cls", "type", "key_type", "met", "arrived", "ends", "aim_at", "hint",
+                 "slots", "memory", "cost", "attempts", "open", "over", "ran_group", "ran_since",
+                 "over_share", "seen_start", "looked", "looks_out", "rounds", "started")
 
-    def __init__(self, request: Request, cls: ClassSettings, type_: JobType, now: float) -> None:
+    def __init__(self, request: Request, cls: ClassSettings, type_: JobType, key_type: KeyType | None,
+                 now: float) -> None:
         self.id = request.id
         self.index = request.class_index
         self.cls = cls
         self.type = type_
+        self.key_type = key_type
+        self.met: bool | None = None  # whether the worker of the last attempt had met the key
         self.arrived = now
         self.ends = now + request.left_ms
         self.aim_at = self.ends
@@ -387,8 +444,7 @@
         self.jobs: dict[int, Job] = {}
         self.class_types = [JobType(settings.kinds, log(c.aim_ms)) for c in settings.classes]
         self.hint_types = [JobType(settings.kinds, 0.0) for _ in settings.classes]
-        self.key_types: dict[tuple[int, int], JobType] = {}
-        self.key_counts: dict[tuple[int, int], int] = {}
+        self.key_types: dict[tuple[int, int], KeyType] = {}
         self.heap: list[tuple[float, int, int, Attempt | Job | None]] = []
         self.serial = 0
         self.armed_at = 0.0  # when the pending alarm comes due; 0: none
@@ -439,31 +495,29 @@
         self._arm(now)
 
     def _types(self) -> list[JobType]:
-        return [*self.class_types, *self.hint_types, *self.key_types.values()]
+        return [*self.class_types, *self.hint_types]
 
     def _forget(self, worker: int) -> None:
         for t in self._types():
             t.forget(worker)
+        for k in self.key_types.values():
+            k.met.pop(worker, None)
 
     # -- types, admission, fairness --
 
-    def _type_of(self, request: Request) -> JobType:
-        """The key where it is met often enough to have a profile, else the class."""
-        if request.key:
-            key = (request.class_index, request.key)
-            found = self.key_types.get(key)
-            if found is not None:
-                return found
-            count = self.key_counts.get(key, 0) + 1
-            if count >= KEY_SEEN and len(self.key_types) < KEYS_MAX and request.hint_ms <= 0:
-                self.key_counts.pop(key, None)
-                mean = self.class_types[request.class_index].mean
-                found = self.key_types[key] = JobType(self.set.kinds, mean)
-                return found
-            if len(self.key_counts) >= KEYS_COUNTED:  # many rare keys: forget them, keep the classes
-                self.key_counts = {k: c // 2 for k, c in self.key_counts.items() if c > 1}
-            self.key_counts[key] = count
-        return (self.hint_types if request.hint_ms > 0 else self.class_types)[request.class_index]
+    def _type_of(self, request: Request) -> tuple[JobType, KeyType | None]:
+        """The profiles of the class, and the key as a type of its own where there is one."""
+        base = (self.hint_types if request.hint_ms > 0 else self.class_types)[request.class_index]
+        if not request.key:
+            return base, None
+        key = (request.class_index, request.key)
+        found = self.key_types.pop(key, None)
+        if found is None:
+            found = KeyType(request.key, base)
+            if len(self.key_types) >= KEYS_MAX:
+                del self.key_types[next(iter(self.key_types))]
+        self.key_types[key] = found  # the longest unused comes first
+        return base, found
 
     def _within_share(self, now: float, tenant: int) -> bool:
         """Whether this request is within its tenant's quota, of which this gateway has a part.
@@ -488,7 +542,7 @@
             return
         c = request.class_index
         cls = self.set.classes[c]
-        job = Job(request, cls, self._type_of(request), now)
+        job = Job(request, cls, *self._type_of(request), now)
         self.jobs[job.id] = job
         first = self.longest[c] = max(self.longest[c], request.left_ms)
         begun = now - (first - request.left_ms)  # a later try has less time left than a first one
@@ -525,9 +579,10 @@
         Acts where load is reported to probes only: then a look is the only way to know who is
         available, and a fleet of gateways with few jobs each knows nothing without it.
         """
-        pool = self.fleet.pool((), job.cls.kind, job.index)
-        fresh = [w for w in self._draw(job, pool, LOOKS)
-                 if w not in job.looked and self._usable(w, job, now) == 2]
+        near = self.set.zones > 1 and self.cut[self.set.zone] <= CUT and self.local_busy < LOCAL_BUSY
+        pool = self.fleet.pool((self.set.zone,) if near and not job.rounds else (), job.cls.kind, job.index)
+        usable = [w for w in pool if w not in job.looked and self._usable(w, job, now) == 2]
+        fresh = self._draw(job, usable, LOOKS, now)
         job.rounds += 1
         for w in fresh:
             job.looked.append(w)
@@ -542,10 +597,12 @@
             self._at(now + LOOK_MS, _ALARM_LOOK, job)
         return bool(fresh)
 
-    def _draw(self, job: Job, pool: list[Worker], want: int) -> list[Worker]:
+    def _draw(self, job: Job, pool: list[Worker], want: int, now: float) -> list[Worker]:
         """Distinct workers drawn in proportion to their shares."""
         t, rnd = job.type, self.rng.random
         found: list[Worker] = []
+        if job.key_type is not None:
+            return self._drawn(job, pool, now)[:want]
         for _ in range(want * DRAWS if pool else 0):
             w = pool[int(rnd() * len(pool))]
             if rnd() * t.top <= (t.rates.get(w.id) or t.kind_rates[w.kind]) and w not in found:
@@ -554,6 +611,21 @@
                     break
         return found
 
+    @staticmethod
+    def _rate(job: Job, w: Worker, now: float) -> float:
+        """The inverse of the response time to expect; with a fetch where the worker has not met the key."""
+        t, k = job.type, job.key_type
+        rate = t.rates.get(w.id) or t.kind_rates[w.kind]
+        if k is None or k.has_met(w.id, now):
+            return rate
+        return rate * exp(-t.fetch)
+
+    def _drawn(self, job: Job, pool: list[Worker], now: float) -> list[Worker]:
+        """Workers in the order of the key's draw."""
+        k = job.key_type
+        assert k is not None
+        return sorted(pool, key=lambda w: k.order(w, self._rate(job, w, now)))
+
     def _looked(self, job: Job, now: float) -> None:
         """The looks are in, or late: send, or look once more if nobody was free."""
         if job.over or job.attempts or job.looks_out < 0:
@@ -622,19 +694,25 @@
         if t.stale and now >= t.solve_at:
             t.solve(now, self.fleet.ready, self.fleet.kind_counts, self.rng.random())
         rnd = self.rng.random
+        k = job.key_type
+        n, counts = (t.n, t.counts) if k is None else (k.n, k.counts)
+        # Of a key with none in flight the first available of its draw, as a draw of one worker: ranking
+        # more by their rates would move keys about, and each move is a fetch from the shared store.
+        want = (SAMPLE_BASE if k is None else 1) + SAMPLE_PER_JOB * n
+        if k is not None:
+            pool = self._drawn(job, pool, now)
         size = len(pool)
-        want = SAMPLE_BASE + SAMPLE_PER_JOB * t.n
-        everyone = want * 2 >= size
+        everyone = want * 2 >= size or k is not None
         draws = size if everyone else want * DRAWS
-        rates, kind_rates, counts, top = t.rates, t.kind_rates, t.counts, t.top
-        scale = t.n / t.total
+        rates, kind_rates, top = t.rates, t.kind_rates, t.top
+        scale = n / t.total
         best: Worker | None = None
         best_tier, best_gap, best_rate, best_tie = 9, 0.0, 0.0, 0.0
         tried = job.attempts
         seen = 0
         for i in range(draws):
             w = pool[i] if everyone else pool[int(rnd() * size)]
-            rate = rates.get(w.id) or kind_rates[w.kind]
+            rate = self._rate(job, w, now) if k is not None else rates.get(w.id) or kind_rates[w.kind]
             if not everyone and rnd() * top > rate:
                 continue
             if tried and any(a.worker is w for a in tried):
@@ -663,7 +741,7 @@
                         continue
                     best_tie = tie
             best, best_tier, best_gap, best_rate = w, tier, gap, rate
-            if seen >= want and not everyone:
+            if seen >= want and (not everyone or k is not None):
                 break
         return best, best_tier
 
@@ -789,9 +867,13 @@
         job.open += 1
         if job.cls.effect == Effect.KEYED and job.ran_group is None:
             job.ran_group, job.ran_since = w, now
-        t = job.type
-        t.n += 1
-        t.counts[w.id] = t.counts.get(w.id, 0) + 1
+        for t in (job.type, job.key_type):
+            if t is not None:
+                t.n += 1
+                t.counts[w.id] = t.counts.get(w.id, 0) + 1
+        if job.key_type is not None:
+            job.met = job.key_type.has_met(w.id, now)
+            job.key_type.met[w.id] = now
         w.out += job.slots
         w.memory_out += job.memory
         if w.ready_at > 0.0:
@@ -969,13 +1051,12 @@
         job, w = a.job, a.worker
         a.open = False
         job.open -= 1
-        t = job.type
-        t.n -= 1
-        left = t.counts[w.id] - 1
-        if left:
-            t.counts[w.id] = left
-        else:
-            del t.counts[w.id]
+        for t in (job.type, job.key_type):
+            if t is not None:
+                t.n -= 1
+                t.counts[w.id] -= 1
+                if not t.counts[w.id]:
+                    del t.counts[w.id]
         w.out -= job.slots
         w.memory_out -= job.memory
         if report:
@@ -992,7 +1073,7 @@
             if job.hint > 0 and a.started_at >= 0:
                 self.run[w.kind] += ((now - a.started_at) / job.hint - self.run[w.kind]) * RUN_STEP
             if latency_ms > 0:
-                t.add(now, w, latency_ms / job.hint if job.hint > 0 else latency_ms)
+                job.type.add(now, w, latency_ms / job.hint if job.hint > 0 else latency_ms, job.met)
         elif status == Status.FULL:
             w.heard_at = now
             w.full_slots = min(w.full_slots, job.slots) if w.full_until > now else job.slots
