--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -217,8 +217,8 @@
 class StoreFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The section ``[store]``."""
 
-    round_s: float = 10.0  # between two rounds with one peer
-    counters_s: float = 60.0  # between two publications of this daemon's counters
+    round_s: float = 30.0  # between two rounds with one peer
+    counters_s: float = 120.0  # between two publications of this daemon's counters
     entries_most: int = 20_000
 
 
--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -752,7 +752,8 @@
         zones = self._zones()
         everywhere = self.fleet.pool(zones, kind, job.index)
         if job.looked and not job.attempts:
-            answered = [w for w in job.looked if now - w.report_at <= LOOK_TTL_MS]
+            answered = [w for w in job.looked
+                        if now - w.report_at <= LOOK_TTL_MS and w.state == WorkerState.READY]
             if answered:
                 return self._rank(job, now, answered)
         if group is not None and job.cls.effect == Effect.KEYED:
--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -34,10 +34,11 @@
 NAMES_MOST = 2 * 1024  # bytes of a packet besides its workload
 SKIP_MOST = 16 * 1024 * 1024  # an oversized packet up to this is read over; past it the session ends
 WRITE_MOST = 4 * 1024 * 1024  # bytes that a peer may leave unread before its session ends
-SESSIONS_PART = 0.3  # of the descriptors
+SESSIONS_PART = 0.15  # of the descriptors
 QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
 DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
 TICK_S = 0.5
+DRAIN_S = 30.0  # for a peer to take what it is sent
 
 (CAN_DO, CANT_DO, RESET_ABILITIES, PRE_SLEEP, _UNUSED, NOOP, SUBMIT_JOB, JOB_CREATED, GRAB_JOB, NO_JOB,
  JOB_ASSIGN, WORK_STATUS, WORK_COMPLETE, WORK_FAIL, GET_STATUS, ECHO_REQ, ECHO_RES, SUBMIT_JOB_BG, ERROR,
@@ -207,7 +208,7 @@
                 await self._read(session)
             else:
                 self.counters.add("connections.gearman_refused")
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+        except (OSError, TimeoutError, EOFError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             del self._handlers[task]
@@ -223,7 +224,7 @@
                 if first != b"\n":
                     line = (first + await reader.readuntil(b"\n")).decode("latin-1").split()
                     writer.write(await self._command(line))
-                    await writer.drain()
+                    await self._drain(writer)
                 continue
             magic, kind, size = _HEADER.unpack(first + await reader.readexactly(_HEADER.size - 1))
             if magic != b"\0REQ" or size > SKIP_MOST:
@@ -239,6 +240,11 @@
             except PacketError as error:
                 self.counters.log("garbled.packet", f"type {kind}: {error}")
                 session.send(ERROR, error.code.encode(), str(error).encode())
+            await self._drain(writer)
+
+    @staticmethod
+    async def _drain(writer: asyncio.StreamWriter) -> None:
+        async with asyncio.timeout(DRAIN_S):
             await writer.drain()
 
     async def _lost(self, session: Session) -> None:
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -25,13 +25,16 @@
 BODY_MOST = 64 * 1024
 LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
 READ = 64 * 1024
-INBOUND_PART = 0.5  # of the descriptors, for clients
-OUTBOUND_PART = 0.4  # and for workers
+INBOUND_PART = 0.4  # of the descriptors, for clients
+OUTBOUND_PART = 0.35  # and for workers
+OVER_MOST = 64  # connections past the clients' part that are still answered, with a refusal
+REQUEST_S = 10.0  # from a request's first byte to its last, and for a client to take an answer
 PROBE_S = 0.2
 IDLE_PART = 0.5  # of the time after which the worker's machine closes an idle connection
 TAIL_S = 1.0  # for the end of an answer whose result is in
 TRAVEL_MS = 5.0  # what a client's clock may be ahead of ours when its first byte is read
 LINGER_S = 0.45  # after SIGTERM new connections go on coming for so long
+IDLE_LEAVING_S = 0.3  # a connection idle for so long then is closed; a newer one may hold a request
 REAP_S = 1.0
 
 
@@ -453,7 +456,8 @@
         self.listen = config.listen
         self.classes = {name.encode(): i for i, name in enumerate(config.class_names)}
         self.most = int(config.limits.sockets * INBOUND_PART)
-        self.idle: dict[asyncio.Task[None], asyncio.StreamWriter] = {}  # oldest first
+        # The connections between two requests, and since when; the longest idle first.
+        self.idle: dict[asyncio.Task[None], tuple[asyncio.StreamWriter, float]] = {}
         self.handlers: set[asyncio.Task[None]] = set()
         self.leaving = False
         self.ready = False
@@ -467,12 +471,12 @@
         """After SIGTERM: serve on while connections come, then end each after its answer."""
         await asyncio.sleep(LINGER_S)
         self.leaving = True
-        for writer in list(self.idle.values()):
-            writer.transport.abort()
         while self.handlers or self.core.open_jobs:
+            before = self.core.clock.now() - IDLE_LEAVING_S * 1000.0
+            for writer, since in list(self.idle.values()):
+                if since < before:
+                    writer.transport.abort()
             await asyncio.sleep(0.02)
-            for writer in list(self.idle.values()):
-                writer.transport.abort()
 
     async def close(self) -> None:
         """Give back the listening socket and every connection."""
@@ -489,25 +493,27 @@
         self.handlers.add(task)
         self.counters.add("connections.inbound")
         if len(self.handlers) > self.most and self.idle:
-            next(iter(self.idle.values())).transport.abort()  # the longest idle makes room
+            next(iter(self.idle.values()))[0].transport.abort()  # the longest idle makes room
         try:
-            if len(self.handlers) <= self.most + 8:
+            if len(self.handlers) <= self.most + OVER_MOST:
                 await self._exchange(task, reader, writer)
-        except (OSError, asyncio.CancelledError):
+        except (OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
             self.idle.pop(task, None)
             self.handlers.discard(task)
             writer.close()
-            with suppress(OSError):
-                await writer.wait_closed()
+            with suppress(OSError, TimeoutError):
+                async with asyncio.timeout(REQUEST_S):
+                    await writer.wait_closed()
+            writer.transport.abort()
 
     async def _exchange(self, task: asyncio.Task[None], reader: asyncio.StreamReader,
                         writer: asyncio.StreamWriter) -> None:
         http = h11.Connection(h11.SERVER)
         while True:
             try:
-                self.idle[task] = writer
+                self.idle[task] = (writer, self.core.clock.now())
                 found = await self._read(task, http, reader, writer)
                 if found is None:
                     return
@@ -534,7 +540,13 @@
             if event is h11.NEED_DATA:
                 if http.they_are_waiting_for_100_continue:
                     writer.write(http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-                data = await reader.read(READ)
+                # Between requests a client may be silent as long as it likes; inside one it may not.
+                left = received_at + REQUEST_S * 1000.0 - self.core.clock.now() if received_at else None
+                try:
+                    async with asyncio.timeout(None if left is None else left / 1000.0):
+                        data = await reader.read(READ)
+                except TimeoutError:
+                    raise BadRequestError(408, "the request did not end in time") from None
                 if data:
                     self.idle.pop(task, None)
                     received_at = received_at or self.core.clock.now()
@@ -563,7 +575,10 @@
         else:
             future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
             job = parse_job(event, body, self.classes, received_at, lambda a: _settle(future, a))
-            if not self.core.offer(job):
+            if len(self.handlers) > self.most:
+                self.counters.add("requests.fail_fast")
+                future.set_result(Answer(Ending.REFUSED))
+            elif not self.core.offer(job):
                 future.set_result(Answer(Ending.REFUSED))
             answer = await self._wait(job, future, http, reader)
             if answer is None:
@@ -601,14 +616,15 @@
     async def _write(self, http: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = ()) -> None:
         headers = [("Content-Length", str(len(body))), *extra]
-        if self.leaving:
+        if self.leaving or len(self.handlers) > self.most:
             headers.append(("Connection", "close"))
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         if body:
             data += http.send(h11.Data(data=body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        await writer.drain()
+        async with asyncio.timeout(REQUEST_S):
+            await writer.drain()
 
 
 def _settle(future: asyncio.Future[Answer], answer: Answer) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
     expect  a regular expression in what the actor has received since its last expect; ``#N`` at its
             start stands for the head of a Gearman packet of type N, a named group is kept as ``$NAME``
     close   end the connection; ``expect-close`` waits until the other side does
+    next    a listening actor turns to its next connection and leaves the current one open
     wait    ``wait MS``; ``term``: SIGTERM's effect; ``count NAME N``: a counter's value
 """
 
@@ -46,6 +47,7 @@
         self.seen = b""
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.left: list[Any] = []  # connections that stay open beside the current one
         self.next: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
 
     async def ready(self) -> None:
@@ -223,6 +225,10 @@
                 self.kept |= await side.expect(rest)
             elif verb == "expect-close":
                 await side.end()
+            elif verb == "next":
+                side.left.append((side.reader, side.writer))
+                side.reader = side.writer = None
+                await side.ready()
             elif verb == "close":
                 side.close()
                 if actor[0] not in "wxd":
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from gaphub.net import http
+
 from .scenario import SETTINGS, play
 
 SERVED = {
@@ -198,6 +200,43 @@
     play(LISTS[name])
 
 
+# Guards against clients past the cap losing requests: they are answered, and each connection once.
+def test_past_the_cap_of_connections_requests_are_refused_and_the_idle_make_room() -> None:
+    play("""
+        c send job poloha r1
+        w expect r1
+        c2 send job poloha r2
+        w next
+        w expect r2
+        c3 send job poloha r3
+        c3 expect HTTP/1.1 503 .*Connection: close
+        c3 expect-close
+        w send lines r2 done=ok .
+        c2 expect HTTP/1.1 200
+        count requests.taken 2
+        c4 send job poloha r4
+        c2 expect-close
+        w expect r4
+        w send lines r4 done=ok .
+        c4 expect HTTP/1.1 200
+    """, limits={"sockets": 7})
+
+
+# Guards against a client that sends half a request holding its socket for ever.
+def test_half_a_request_is_timed_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "REQUEST_S", 0.1)
+    play("""
+        c send POST /api HTTP/1.1\\r\\nHost: a\\r\\n
+        c expect HTTP/1.1 408
+        c expect-close
+        c2 send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+        c2 expect 200
+        wait 300
+        c2 send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+        c2 expect 200
+    """)
+
+
 def test_leaving() -> None:
     play("""
         c send job vyuctovani r1
