Number workers by their names, so that gateways draw alike

Cause found by reading: the core numbered workers in the order of its lists, and the module's draw for a key uses the number, so two gateways with lists in other orders gave a key two homes. In the simulator ids are the same everywhere. Changed: the number is a hash of the name.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import time
+import zlib
 from collections import deque
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
@@ -224,7 +225,6 @@
         self._jobs: dict[int, Job] = {}
         self._numbers: dict[tuple[str, str], int] = {}
         self._destinations: dict[int, Destination] = {}
-        self._next_destination = 1
         self.balancer = Balancer(clock.now(), settings, seed, self)
 
     # -- the mailbox --
@@ -539,8 +539,12 @@
         key = (source, entry.name)
         number = self._numbers.get(key)
         if number is None:
-            number = self._numbers[key] = self._next_destination
-            self._next_destination += 1
+            # Guards against gateways that number workers by the order of their lists: the Balancer draws
+            # by these numbers, and a key has one home only if every gateway draws alike.
+            number = zlib.crc32(f"{source}/{entry.name}".encode()) or 1
+            while number in self._destinations:
+                number += 1
+            self._numbers[key] = number
         known = self._destinations.get(number)
         if known is None:
             known = self._destinations[number] = Destination(number, source, entry)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -175,9 +175,19 @@
     assert len(w.core.balancer.fleet.ready) == 1
 
 
+def test_gateways_number_workers_alike_whatever_the_order_of_their_lists() -> None:
+    # Numbers by order of listing gave a key another home at each gateway, to be fetched at each.
+    cores = [World().core for _ in range(2)]
+    for core, names in zip(cores, (["a", "b", "c"], ["c", "x", "b", "a"]), strict=True):
+        core.listed("test", ListKind.FULL, [Listed(n, "", WorkerState.READY) for n in names])
+    one, two = ({d.listed.name: n for n, d in c._destinations.items()} for c in cores)
+    assert {n: two[n] for n in one} == one and len(set(two.values())) == 4
+
+
 @core_test
 async def test_a_call_that_ends_before_its_request_times_out(w: World, patch: Any) -> None:
-    patch.setattr(Balancer, "on_request", lambda b, now, r: b.act.send(r.id, 1, 30.0))
+    first = next(iter(w.core._destinations))
+    patch.setattr(Balancer, "on_request", lambda b, now, r: b.act.send(r.id, first, 30.0))
     w.job(1)
     await asyncio.sleep(0.1)
     assert [c.status for c in w.port.calls] == [Status.TIMEOUT]
