Refuse heads with two lengths; read the configuration again on SIGHUP

LB_DISCOVERY would have hidden the file's new address, as config.from_text preferred the environment.

Now: check_head refuses repeated ids, classes, time-outs and lengths before the body, and a length over 64 KiB at once; Reload owns the configuration in force and moves the destination set, which breaks off its call to the old agent and asks the new one for the whole list.

The new scenarios fail without the change.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -1,6 +1,6 @@
 """Starts and ends the real scheduler: wires the parts, listens, and shuts down.
 
-It owns the order of start and end and nothing else; it must never decide or parse anything.
+It owns the order of start and end and the configuration in force; it must never decide or parse anything.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 from .config import Config, ConfigError, load
 from .core import Clock, Core, Tasks
@@ -22,8 +23,43 @@
 from .net.peers import Peers
 from .store import Store
 
+# What is read at the start only; ``known`` and ``seed`` are news of the start itself.
+STARTING = ("name", "listen", "limits", "peer_listen", "peers", "peers_all", "settings", "class_names",
+            "zones", "models", "report_fields", "conn_idle_ms", "fronts")
 
-async def serve(config: Config, counters: Counters, stop: asyncio.Event) -> None:
+
+class Reload:
+    """The one owner of the configuration in force; reads it again each time it is asked to.
+
+    A faulty file changes nothing.  What cannot change while requests are open is named in the log and
+    waits for the next start.
+    """
+
+    def __init__(self, config: Config, read: Callable[[], Config], counters: Counters) -> None:
+        self.config = config
+        self._read = read
+        self._counters = counters
+        self.asked = asyncio.Event()
+
+    async def run(self, destinations: DestinationSet) -> None:
+        """Read the configuration whenever asked; requests to do so that come together are one."""
+        while True:
+            await self.asked.wait()
+            self.asked.clear()
+            try:
+                new = self._read()
+            except ConfigError as error:
+                self._counters.log("reloads.failed", str(error))
+                continue
+            self._counters.add("reloads.done")
+            waiting = [key for key in STARTING if getattr(new, key) != getattr(self.config, key)]
+            if waiting:
+                self._counters.log("reloads.need_a_start", ", ".join(waiting))
+            self.config = new
+            destinations.move(new.discovery)
+
+
+async def serve(config: Config, counters: Counters, stop: asyncio.Event, reload: Reload) -> None:
     """Serve until ``stop``, then answer all that was taken."""
     core = Core(config.settings, config.seed, Clock(), counters)
     outbound = Outbound(config, core, counters)
@@ -43,7 +79,7 @@
         await gearmen.open()
         await peers.open()
         for work in (core.run(), outbound.run(), destinations.run(), gearmen.run(), sinks.run_graphite(),
-                     sinks.run_collectd()):
+                     sinks.run_collectd(), reload.run(destinations)):
             actors.start(work)
         inbound.ready = True
         counters.add("ready")
@@ -60,11 +96,12 @@
 
 
 async def run(config: Config) -> None:
-    """Serve until SIGTERM or SIGINT."""
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await serve(config, Counters(), stop)
+    """Serve until SIGTERM or SIGINT; on SIGHUP read the configuration again."""
+    counters, stop = Counters(), asyncio.Event()
+    reload = Reload(config, lambda: load(os.environ, again=True), counters)
+    for number, asked in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, reload.asked)):
+        asyncio.get_running_loop().add_signal_handler(number, asked.set)
+    await serve(config, counters, stop, reload)
 
 
 def main() -> int:
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -316,15 +316,18 @@
         raise ConfigError(f"{key}: {path}: {error.strerror}") from None
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """The whole configuration; ConfigError names what is wrong with it."""
+def load(env: Mapping[str, str], again: bool = False) -> Config:
+    """The whole configuration; ConfigError names what is wrong with it.
+
+    ``again``: the program runs.  The environment is still that of the start, so the file prevails.
+    """
     if not env.get("LB_CONFIG"):
         raise ConfigError("LB_CONFIG: missing")
     fronts = env.get("LB_FRONTS") or str(FRONTS)
-    return from_text(_read(env["LB_CONFIG"], "LB_CONFIG"), env, _read(fronts, "LB_FRONTS").decode())
+    return from_text(_read(env["LB_CONFIG"], "LB_CONFIG"), env, _read(fronts, "LB_FRONTS").decode(), again)
 
 
-def from_text(data: bytes, env: Mapping[str, str], fronts: str) -> Config:
+def from_text(data: bytes, env: Mapping[str, str], fronts: str, again: bool = False) -> Config:
     """The configuration from the texts of its two files and the environment."""
     file = _decode(data, _File, "LB_CONFIG")
     raw = file.settings
@@ -340,7 +343,8 @@
     return Config(
         name=env.get("LB_NAME") or file.name,
         listen=address(env.get("LB_LISTEN") or file.listen, "LB_LISTEN"),
-        discovery=address(env.get("LB_DISCOVERY") or file.discovery, "LB_DISCOVERY"),
+        discovery=address((again and file.discovery) or env.get("LB_DISCOVERY") or file.discovery,
+                          "LB_DISCOVERY"),
         seed=int(file.seed, 16),
         limits=file.limits,
         peer_listen=address(file.peer_listen, "peer_listen") if file.peer_listen else None,
--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import h11
 import msgspec
 
-from ..config import Config, DestinationList, ListedEntry
+from ..config import Address, Config, DestinationList, ListedEntry
 from ..core import Core, Listed
 from ..interface import ListKind, WorkerState
 from ..metrics import Counters
@@ -21,7 +23,7 @@
 SILENT_S = 3.0  # past the wait, without an answer: the agent is silent and the call is begun again
 CALL_S = 2.0  # for a call that may not wait
 AGAIN_S = 0.1  # after a failed call, doubling up to the next
-AGAIN_MOST_S = 2.0
+AGAIN_MOST_S = 0.8  # the agent is on this machine; after a move its list counts as told within seconds
 SOURCE = "discovery"
 _STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
@@ -40,8 +42,17 @@
         self.following = not config.settings.must_ask
         self._asked: asyncio.Queue[str] = asyncio.Queue(8)
         self._wire: Wire | None = None
+        self._moved = asyncio.Event()
 
-    # -- what the core asks --
+    # -- what the core and the configuration ask --
+
+    def move(self, agent: Address) -> None:
+        """The agent has another address from now on; what it named so far stays named until it answers."""
+        if agent != self.agent:
+            self.agent = agent
+            self.counters.add("lists.moved")
+            self._moved.set()
+            self._ask("fetch")
 
     def watch(self, on: bool) -> None:
         """Follow changes, or stop."""
@@ -73,20 +84,38 @@
                     what = await self._asked.get()
                     whole = whole or what == "fetch"
                     self.following = what == "follow" if what != "fetch" else self.following
+                if self._moved.is_set():
+                    # The new agent may count its versions anew: it is asked for the whole list first.
+                    self._moved.clear()
+                    self._drop()
+                    pause, whole = AGAIN_S, True
                 try:
-                    await self._call(whole)
-                    pause, whole = AGAIN_S, False
+                    await self._unless_moved(self._call(whole))
+                    if not self._moved.is_set():
+                        pause, whole = AGAIN_S, False
                 except (ConnectionLostError, NeverWrittenError, TimeoutError, h11.ProtocolError) as error:
                     self._drop()
                     self.counters.log("lists.failed", repr(error))
                     if self.core.settings.must_ask:
                         self.following = False  # the module asks again in its own time
                         await self.core.post(self.core.list_failed)
-                    await asyncio.sleep(pause)
+                    await self._unless_moved(asyncio.sleep(pause))
                     pause = min(AGAIN_MOST_S, pause * 2)
         finally:
             self._drop()
 
+    async def _unless_moved(self, work: Coroutine[Any, Any, None]) -> None:
+        """Do something, but break it off when the agent moves: the old one may be silent for long."""
+        task, moved = asyncio.ensure_future(work), asyncio.ensure_future(self._moved.wait())
+        try:
+            await asyncio.wait({task, moved}, return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                await task
+        finally:
+            for each in (task, moved):
+                each.cancel()
+            await asyncio.gather(task, moved, return_exceptions=True)
+
     def _drop(self) -> None:
         if self._wire is not None:
             self._wire.close()
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -407,9 +407,30 @@
 
 _TIMEOUT = re.compile(rb"(\d{1,12})(?:\.\d+)?([mu])")
 _IDENT = re.compile(rb"[!-~]{1,128}")
+_ONCE = (b"x-request-id", b"x-priority-class", b"x-timeout", b"x-attrs", b"x-retried", b"content-length",
+         b"transfer-encoding")
+_LENGTHS = re.compile(rb"^(?:content-length|transfer-encoding)[ \t]*:", re.I | re.M)
 _ANSWERS = {Ending.SERVED: 200, Ending.REFUSED: 503, Ending.FAILED: 502}
 
 
+def check_head(event: h11.Request, raw: bytes) -> None:
+    """Refuse a head that two readers may read differently; BadRequestError names what is at fault.
+
+    Guards against a request hidden in another's body: with two lengths, or a length and a coding, the
+    worker or the next hop may see its end elsewhere.  h11 prefers the coding and folds equal lengths into
+    one, so the lengths are counted in the bytes that came.
+    """
+    if len(_LENGTHS.findall(raw)) > 1:
+        raise BadRequestError(400, "Content-Length and Transfer-Encoding")
+    names = [name for name, _ in event.headers]
+    for name in _ONCE:
+        if names.count(name) > 1:
+            raise BadRequestError(400, f"{name.decode()} comes twice")
+    if dict(event.headers).get(b"content-length", b"0").isdigit():
+        if int(dict(event.headers).get(b"content-length", b"0")) > BODY_MOST:
+            raise BadRequestError(413, "body over 64 KiB")
+
+
 def parse_job(event: h11.Request, body: bytes, classes: dict[bytes, int], received_at: float,
               reply: Callable[[Answer], None]) -> Job:
     """A request as the core takes it; BadRequestError if it is none."""
@@ -537,6 +558,7 @@
         body = bytearray()
         received_at = self.core.clock.now() if http.trailing_data[0] else 0.0
         while True:
+            raw = http.trailing_data[0] if request is None else b""
             event = http.next_event()
             if event is h11.NEED_DATA:
                 if http.they_are_waiting_for_100_continue:
@@ -553,6 +575,7 @@
                     received_at = received_at or self.core.clock.now()
                 http.receive_data(data)
             elif isinstance(event, h11.Request):
+                check_head(event, re.split(rb"\r?\n\r?\n", raw, maxsplit=1)[0])
                 request = event
             elif isinstance(event, h11.Data):
                 body += event.data
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,16 +1,18 @@
 """The scenario language of the network tests: send, expect, close, wait.
 
 A scenario is lines of ``ACTOR VERB REST``.  Actors: ``c``, ``c2`` ... are clients (they connect when first
-used); ``w`` and ``x`` are workers, ``d`` is discovery's agent (each listens; its current connection is the
-newest that it has not closed); ``g``, ``g2`` ... speak Gearman's binary protocol and ``a`` its text one;
-``u`` is a peer.  ``#`` starts a comment line.
+used); ``w`` and ``x`` are workers, ``d`` and ``d2`` discovery's agents (each listens; its current connection
+is the newest that it has not closed); ``g``, ``g2`` ... speak Gearman's binary protocol and ``a`` its text
+one; ``u`` is a peer.  ``#`` starts a comment line.
 
     send    a macro of that actor (see ``_Cast.render``), or bytes with escapes
     expect  a regular expression in what the actor has received since its last expect; ``#N`` at its
             start stands for the head of a Gearman packet of type N, a named group is kept as ``$NAME``
     close   end the connection; ``expect-close`` waits until the other side does
     next    a listening actor turns to its next connection and leaves the current one open
-    wait    ``wait MS``; ``term``: SIGTERM's effect; ``count NAME N``: a counter's value
+    wait    ``wait MS``; ``term``: SIGTERM's effect; ``reload ACTOR``: SIGHUP's, with that
+            actor as the new agent (``faulty``: with a file that cannot be read);
+            ``count NAME N``: a counter's value
 """
 
 from __future__ import annotations
@@ -24,7 +26,7 @@
 from typing import Any
 
 from gaphub import config as conf
-from gaphub.__main__ import serve
+from gaphub.__main__ import Reload, serve
 from gaphub.metrics import Counters
 
 CLASSES = [
@@ -104,7 +106,7 @@
         self.ports[name] = server.sockets[0].getsockname()[1]
 
     async def __aenter__(self) -> Cast:
-        for name in ("w", "x", "d"):
+        for name in ("w", "x", "d", "d2"):
             await self._listen(name)
         known = self.more.pop("known", "w")
         settings = {**SETTINGS, **self.more.pop("settings", {})}
@@ -115,8 +117,12 @@
             "known": {"version": 41, "full": True, "servers": [self.entry(n) for n in known.split()]},
             **self.more,
         }
-        self.config = conf.from_text(json.dumps(file).encode(), {}, fronts)
-        self.task = asyncio.create_task(serve(self.config, self.counters, self.stop))
+        self.file = json.dumps(file).encode()
+        self.config = conf.from_text(self.file, {}, fronts)
+        env = {"LB_DISCOVERY": file["discovery"]}  # says the same at the start, and for ever after
+        self.reload = Reload(self.config, lambda: conf.from_text(self.file, env, fronts, again=True),
+                             self.counters)
+        self.task = asyncio.create_task(serve(self.config, self.counters, self.stop, self.reload))
         for _ in range(500):
             if self.counters.values["ready"]:
                 break
@@ -202,6 +208,10 @@
             await asyncio.sleep(float(rest) / 1000.0)
         elif actor == "term":
             self.stop.set()
+        elif actor == "reload":
+            new = {**json.loads(self.file), "discovery": f"127.0.0.1:{self.ports.get(rest, 0)}"}
+            self.file = b"{" if rest == "faulty" else json.dumps(new).encode()
+            self.reload.asked.set()
         elif actor == "ended":
             await asyncio.wait([self.task])
         elif actor == "count":
@@ -231,7 +241,7 @@
                 await side.ready()
             elif verb == "close":
                 side.close()
-                if actor[0] not in "wxd":
+                if actor not in self.ports:
                     del self.sides[actor]
             else:
                 raise AssertionError(f"no such verb: {verb}")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -126,7 +126,20 @@
     """,
 }
 
+HIDDEN = "0\\r\\n\\r\\nPOST /api HTTP/1.1\\r\\nHost: a\\r\\nX-Request-ID: r9\\r\\n\\r\\n"
 REFUSED = {
+    "two lengths": (f"c send job poloha r1 {'a' * 5} Content-Length:5", "400"),
+    "a length and a coding: what the body hides is never read as a request": (
+        "c send POST /api HTTP/1.1\\r\\nHost: a\\r\\nX-Request-ID: r1\\r\\nX-Priority-Class: poloha\\r\\n"
+        f"X-Timeout: 900m\\r\\nContent-Length: 71\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n{HIDDEN}",
+        "400"),
+    "two ids": ("c send job poloha r1 X-Request-ID:r2", "400"),
+    "two classes": ("c send job poloha r1 X-Priority-Class:vyuctovani", "400"),
+    "two time-outs": ("c send job poloha r1 X-Timeout:900m X-Timeout:90m", "400"),
+    "a length that no body may have": (
+        "c send POST / HTTP/1.1\\r\\nHost: a\\r\\nContent-Length: 60000000\\r\\n\\r\\n", "413"),
+    "a negative length": (
+        "c send POST / HTTP/1.1\\r\\nHost: a\\r\\nContent-Length: -1\\r\\n\\r\\n", "400"),
     "malformed HTTP": ("c send nonsense\\r\\n\\r\\n", "400"),
     "no id": ("c send POST /api HTTP/1.1\\r\\nHost: a\\r\\nContent-Length: 0\\r\\n\\r\\n", "400"),
     "unknown class": ("c send job render r1", "400"),
@@ -178,6 +191,61 @@
     """,
 }
 
+RELOADS = {
+    # Guards against SIGHUP's default, which ends the process, and against waiting on an agent that is left.
+    "the list moves at once; what was known and what is open stays": """
+        c send job poloha r1
+        w expect r1
+        reload d2
+        d expect-close
+        c2 send job poloha r2
+        w next
+        w expect r2
+        d2 expect GET /api/targets HTTP
+        d2 send list 7 full w=active x=active
+        d2 expect GET /api/targets\\?index=7&wait=
+        w send lines r2 done=two .
+        c2 expect 200 .*two
+        count reloads.done 1
+    """,
+    "a faulty file leaves the old configuration in force": """
+        reload faulty
+        count reloads.failed 1
+        d send list 42 changes x=active
+        d expect index=42
+    """,
+    "an agent that is not there yet is called again": """
+        reload nobody
+        count lists.failed 3
+        reload d2
+        d2 expect GET /api/targets HTTP
+    """,
+    "again and again, and after SIGTERM: nothing is lost": """
+        c send job vyuctovani r1
+        w expect r1
+        reload d2
+        d2 expect targets HTTP
+        reload d
+        d expect-close
+        d next
+        d expect targets HTTP
+        term
+        wait 20
+        reload d2
+        wait 500
+        w send lines r1 done=one .
+        c expect 200 .*one
+        ended
+        count reloads.done 3
+    """,
+}
+
+
+@pytest.mark.parametrize("name", RELOADS)
+def test_reloads(name: str) -> None:
+    play("d expect index=41\n" + RELOADS[name])
+
+
 @pytest.mark.parametrize("name", SERVED)
 def test_served(name: str) -> None:
     play(SERVED[name])
