Let silent and idle connections make room for jobs, and time each bad client

Checked: the refusals are Inbound._handle's own (handlers > most), made before the core is asked: the eviction in _serve closed one idle connection for each newcomer but counted it until it had ended. Ruled out: the core's table and mailbox (counter requests.fail_fast came from _handle alone) and CPU (0.23 s in the worst second).

Now: one owner accepts one connection at a time and makes room first, in the order of Visitor.may_yield; nothing is refused for want of a connection. A first request is due 1.5 s after connecting, a later one 2 s after its first byte. An error is followed by a bounded lingering close. The receive buffer of a connection and the bodies that are still coming are bounded. A repeated open id gets 409. Refusals of the core's own carry Retry-After.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -241,6 +241,11 @@
         self._box.put_nowait(lambda: self._take(job))
         return True
 
+    def refusal(self) -> Answer:
+        """A refusal of the core's own, with a time to return where the settings allow one."""
+        return Answer(Ending.REFUSED,
+                      retry_after_ms=self.settings.max_retry_after_ms if self.settings.retry_after else 0.0)
+
     @property
     def open_jobs(self) -> int:
         """Requests taken that still owe an answer or have a call out."""
@@ -309,7 +314,7 @@
         job.number = self._serial
         self._jobs[job.number] = job
         if job.ends - now <= EARLY_MS:
-            self._answer(job, Answer(Ending.REFUSED))
+            self._answer(job, self.refusal())
             self._settle(job)
             return
         heappush(self._deadlines, (job.ends - EARLY_MS, job.number))
@@ -338,7 +343,7 @@
 
     def _give_up(self, job: Job) -> None:
         """The core's own final answer, where the Balancer gave none."""
-        self._answer(job, Answer(Ending.REFUSED if self._harmless(job) else Ending.FAILED))
+        self._answer(job, self.refusal() if self._harmless(job) else Answer(Ending.FAILED))
         self._drop(job)
 
     def _answer(self, job: Job, answer: Answer) -> None:
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import re
+import socket
 import zlib
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import suppress
@@ -25,10 +26,17 @@
 BODY_MOST = 64 * 1024
 LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
 READ = 64 * 1024
-INBOUND_PART = 0.4  # of the descriptors, for clients
-OUTBOUND_PART = 0.35  # and for workers
-OVER_MOST = 64  # connections past the clients' part that are still answered, with a refusal
-REQUEST_S = 10.0  # from a request's first byte to its last, and for a client to take an answer
+INBOUND_PART = 0.5  # of the descriptors, for clients; those with requests hold up to a third
+OUTBOUND_PART = 0.4  # and for workers
+BODIES_PART = 0.08  # of the memory, for bodies that are still coming
+RECEIVE = 32 * 1024  # bytes of a connection that wait to be read
+BACKLOG = 512  # connections that wait to be accepted
+FRESH_S = 1.5  # from a connection's start to the end of its first good request
+YIELD_MS = (100.0, 250.0, 1000.0)  # waiting so long, a connection makes room: see Visitor.may_yield
+REQUEST_S = 2.0  # from a later request's first byte to its last
+TAKE_S = 10.0  # for a client to take an answer
+LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
+LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
 PROBE_S = 0.2
 IDLE_PART = 0.5  # of the time after which the worker's machine closes an idle connection
 TAIL_S = 1.0  # for the end of an answer whose result is in
@@ -469,6 +477,32 @@
     return 0
 
 
+class Visitor:
+    """One inbound connection; its handler task is its owner."""
+
+    __slots__ = ("reader", "writer", "since", "waits", "asked", "served", "yielded")
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, now: float) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.since = now  # when it was accepted
+        self.waits: float | None = now  # since when the client is to send something; None: we are at work
+        self.asked = False  # has carried a whole good request
+        self.served = False  # has carried a job
+        self.yielded = False  # was made to go, and is about to
+
+    def may_yield(self, now: float) -> tuple[int, float] | None:
+        """Its place among those that make room for a newcomer, the least first; None: it stays.
+
+        Guards against crowds that hold connections and send nothing, or asked once and stay: without this
+        they filled the clients' part, and jobs were refused for want of a connection.
+        """
+        if self.waits is None:
+            return None
+        place = 2 if self.served else 1 if self.asked else 0
+        return (place, self.waits) if now - self.waits >= YIELD_MS[place] else None
+
+
 class Inbound:
     """The clients' side: one handler for each connection, one request at a time on each."""
 
@@ -477,119 +511,186 @@
         self.counters = counters
         self.listen = config.listen
         self.classes = {name.encode(): i for i, name in enumerate(config.class_names)}
-        self.most = int(config.limits.sockets * INBOUND_PART)
-        # The connections between two requests, and since when; the longest idle first.
-        self.idle: dict[asyncio.Task[None], tuple[asyncio.StreamWriter, float]] = {}
-        self.handlers: set[asyncio.Task[None]] = set()
+        self.room = int(config.limits.sockets * INBOUND_PART)
+        self.bodies = int(config.limits.memory_mb * 1e6 * BODIES_PART)  # bytes that bodies may take together
+        self.visitors: dict[int, Visitor] = {}
+        self.open_ids: set[str] = set()
         self.leaving = False
         self.ready = False
-        self._server: asyncio.Server | None = None
+        self._serial = 0
+        self._listener: socket.socket | None = None
+        self._tasks = Tasks(counters)
 
     async def open(self) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, *self.listen, backlog=512)
+        loop = asyncio.get_running_loop()
+        found = await loop.getaddrinfo(*self.listen, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        self._listener = listener = socket.socket(*found[0][:3])
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Inherited by connections: bounds what one that sends without end may have in our memory.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        listener.bind(found[0][4])
+        listener.listen(BACKLOG)
+        self._tasks.start(self._accept(listener))
 
     async def leave(self) -> None:
         """After SIGTERM: serve on while connections come, then end each after its answer."""
         await asyncio.sleep(LINGER_S)
         self.leaving = True
-        while self.handlers or self.core.open_jobs:
+        while self.visitors or self.core.open_jobs:
             before = self.core.clock.now() - IDLE_LEAVING_S * 1000.0
-            for writer, since in list(self.idle.values()):
-                if since < before:
-                    writer.transport.abort()
+            for visitor in self.visitors.values():
+                if visitor.waits is not None and visitor.waits < before:
+                    visitor.writer.transport.abort()
             await asyncio.sleep(0.02)
 
     async def close(self) -> None:
         """Give back the listening socket and every connection."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self.handlers):
-            task.cancel()
-        if self.handlers:
-            await asyncio.wait(self.handlers)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self.handlers.add(task)
-        self.counters.add("connections.inbound")
-        if len(self.handlers) > self.most and self.idle:
-            next(iter(self.idle.values()))[0].transport.abort()  # the longest idle makes room
+        await self._tasks.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    async def _accept(self, listener: socket.socket) -> None:
+        """Accept one connection at a time, so that a burst of them never passes the clients' part."""
+        loop = asyncio.get_running_loop()
+        while True:
+            while len(self.visitors) >= self.room:
+                await asyncio.sleep(0.0 if self._make_room() else 0.01)
+            try:
+                sock, _ = await loop.sock_accept(listener)
+            except OSError as error:
+                self.counters.log("connections.not_accepted", repr(error))
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                reader = asyncio.StreamReader(limit=RECEIVE)
+                protocol = asyncio.StreamReaderProtocol(reader)
+                transport, _ = await loop.connect_accepted_socket(lambda p=protocol: p, sock)  # type: ignore[misc]
+            except OSError:
+                sock.close()
+                continue
+            self.counters.add("connections.inbound")
+            self._serial += 1
+            visitor = Visitor(reader, asyncio.StreamWriter(transport, protocol, reader, loop),
+                              self.core.clock.now())
+            self.visitors[self._serial] = visitor
+            self._tasks.start(self._serve(self._serial, visitor))
+
+    def _make_room(self) -> bool:
+        """Whether a connection is on its way out, if need be one that is made to go."""
+        if any(v.yielded for v in self.visitors.values()):
+            return True
+        now = self.core.clock.now()
+        found = [(place, n) for n, v in self.visitors.items() if (place := v.may_yield(now)) is not None]
+        if not found:
+            return False
+        self.counters.add("connections.yielded")
+        visitor = self.visitors[min(found)[1]]
+        visitor.yielded = True
+        visitor.writer.transport.abort()
+        return True
+
+    async def _serve(self, number: int, visitor: Visitor) -> None:
+        writer = visitor.writer
         try:
-            if len(self.handlers) <= self.most + OVER_MOST:
-                await self._exchange(task, reader, writer)
+            await self._exchange(visitor)
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
-            self.idle.pop(task, None)
-            self.handlers.discard(task)
+            visitor.waits, visitor.asked, visitor.served = self.core.clock.now(), False, False
             writer.close()
-            with suppress(OSError, TimeoutError):
-                async with asyncio.timeout(REQUEST_S):
+            with suppress(OSError, TimeoutError, asyncio.CancelledError):
+                async with asyncio.timeout(TAKE_S):
                     await writer.wait_closed()
             writer.transport.abort()
+            del self.visitors[number]
 
-    async def _exchange(self, task: asyncio.Task[None], reader: asyncio.StreamReader,
-                        writer: asyncio.StreamWriter) -> None:
+    async def _exchange(self, visitor: Visitor) -> None:
         http = h11.Connection(h11.SERVER)
         while True:
+            visitor.waits = self.core.clock.now()
             try:
-                self.idle[task] = (writer, self.core.clock.now())
-                found = await self._read(task, http, reader, writer)
+                found = await self._read(http, visitor)
                 if found is None:
                     return
-                event, body, received_at = found
-                await self._handle(event, body, received_at, http, reader, writer)
+                visitor.waits = None
+                await self._handle(*found, http, visitor)
             except (BadRequestError, h11.RemoteProtocolError) as error:
                 self.counters.log("garbled.request", str(error) or type(error).__name__)
                 status = error.status if isinstance(error, BadRequestError) else error.error_status_hint
                 if http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                    await self._write(http, writer, status, b"", [("Connection", "close")])
+                    await self._write(http, visitor.writer, status, b"", [("Connection", "close")])
+                    await self._linger(visitor)
                 return
+            visitor.asked = True
             if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return
             http.start_next_cycle()
 
-    async def _read(self, task: asyncio.Task[None], http: h11.Connection, reader: asyncio.StreamReader,
-                    writer: asyncio.StreamWriter) -> tuple[h11.Request, bytes, float] | None:
+    @staticmethod
+    async def _linger(visitor: Visitor) -> None:
+        """Let an error reach a client that still sends: a close with bytes unread would take it back."""
+        left = LINGER_MOST
+        visitor.waits = visitor.waits or 0.0  # from here on it may make room at once
+        with suppress(OSError, TimeoutError):
+            visitor.writer.write_eof()
+            async with asyncio.timeout(LINGER_ERROR_S):
+                while left > 0 and (data := await visitor.reader.read(READ)):
+                    left -= len(data)
+
+    def _until(self, visitor: Visitor, received_at: float) -> float | None:
+        """Until when the next bytes must come; None: there is no hurry."""
+        if not visitor.asked:
+            return visitor.since + FRESH_S * 1000.0
+        return received_at + REQUEST_S * 1000.0 if received_at else None
+
+    async def _read(self, http: h11.Connection, visitor: Visitor) -> tuple[h11.Request, bytes, float] | None:
         """The next whole request; None when the client closes."""
         request: h11.Request | None = None
         body = bytearray()
         received_at = self.core.clock.now() if http.trailing_data[0] else 0.0
-        while True:
-            raw = http.trailing_data[0] if request is None else b""
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                if http.they_are_waiting_for_100_continue:
-                    writer.write(http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-                # Between requests a client may be silent as long as it likes; inside one it may not.
-                left = received_at + REQUEST_S * 1000.0 - self.core.clock.now() if received_at else None
-                try:
-                    async with asyncio.timeout(None if left is None else left / 1000.0):
-                        data = await reader.read(READ)
-                except TimeoutError:
-                    raise BadRequestError(408, "the request did not end in time") from None
-                if data:
-                    self.idle.pop(task, None)
-                    received_at = received_at or self.core.clock.now()
-                http.receive_data(data)
-            elif isinstance(event, h11.Request):
-                check_head(event, re.split(rb"\r?\n\r?\n", raw, maxsplit=1)[0])
-                request = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > BODY_MOST:
-                    raise BadRequestError(413, "body over 64 KiB")
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                self.idle.pop(task, None)
-                return request, bytes(body), received_at
-            else:
-                return None
+        try:
+            while True:
+                raw = http.trailing_data[0] if request is None else b""
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    if http.they_are_waiting_for_100_continue:
+                        visitor.writer.write(
+                            http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                    # Between requests a client may be silent as long as it likes, inside one and before
+                    # its first it may not.
+                    until = self._until(visitor, received_at)
+                    left_s = None if until is None else (until - self.core.clock.now()) / 1000.0
+                    try:
+                        async with asyncio.timeout(left_s):
+                            data = await visitor.reader.read(READ)
+                    except TimeoutError:
+                        raise BadRequestError(408, "the request did not end in time") from None
+                    if data:
+                        received_at = received_at or self.core.clock.now()
+                    http.receive_data(data)
+                elif isinstance(event, h11.Request):
+                    check_head(event, re.split(rb"\r?\n\r?\n", raw, maxsplit=1)[0])
+                    request = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    self.bodies -= len(event.data)
+                    if len(body) > BODY_MOST:
+                        raise BadRequestError(413, "body over 64 KiB")
+                    if self.bodies < 0:
+                        raise BadRequestError(503, "no room for bodies")
+                elif isinstance(event, h11.EndOfMessage) and request is not None:
+                    return request, bytes(body), received_at
+                else:
+                    return None
+        finally:
+            self.bodies += len(body)
 
     async def _handle(self, event: h11.Request, body: bytes, received_at: float, http: h11.Connection,
-                      reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                      visitor: Visitor) -> None:
         target = event.target.partition(b"?")[0]
+        writer = visitor.writer
         if event.method == b"GET" and target == b"/-/ready":
             await self._write(http, writer, 200 if self.ready else 503, b"")
         elif event.method == b"GET" and target == b"/-/counters":
@@ -599,12 +700,16 @@
         else:
             future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
             job = parse_job(event, body, self.classes, received_at, lambda a: _settle(future, a))
-            if len(self.handlers) > self.most:
-                self.counters.add("requests.fail_fast")
-                future.set_result(Answer(Ending.REFUSED))
-            elif not self.core.offer(job):
-                future.set_result(Answer(Ending.REFUSED))
-            answer = await self._wait(job, future, http, reader)
+            if job.ident in self.open_ids:
+                raise BadRequestError(409, "the id of an open request")
+            visitor.served = True
+            self.open_ids.add(job.ident)
+            try:
+                if not self.core.offer(job):
+                    future.set_result(self.core.refusal())
+                answer = await self._wait(job, future, http, visitor.reader)
+            finally:
+                self.open_ids.discard(job.ident)
             if answer is None:
                 raise ConnectionResetError("client gone")
             extra = []
@@ -616,38 +721,43 @@
                     reader: asyncio.StreamReader) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
         read = asyncio.ensure_future(reader.read(READ))
-        waited: set[asyncio.Future[Any]] = {read, future}
+        early = 0
         try:
-            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-            if read.done():
-                early = b""
+            while early < BODY_MOST:
+                waited: set[asyncio.Future[Any]] = {read, future}
+                await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+                if future.done():
+                    break
+                data = b""
                 with suppress(OSError):
-                    early = read.result()
-                if early:
-                    http.receive_data(early)  # of the next request
-                elif not future.done():
+                    data = read.result()
+                if not data:
                     await self.core.post(lambda: self.core.gone(job))
                     return None
+                http.receive_data(data)  # of the next request; the client may still leave
+                early += len(data)
+                read = asyncio.ensure_future(reader.read(READ))
             return await future
         except asyncio.CancelledError:
             await self.core.post(lambda: self.core.gone(job))
             raise
         finally:
-            read.cancel()  # bytes that have come by now stay in the reader
+            read.cancel()  # bytes that have not been read by now stay in the reader
             with suppress(OSError, asyncio.CancelledError):
-                await read
+                if data := await read:
+                    http.receive_data(data)
 
     async def _write(self, http: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = ()) -> None:
         headers = [("Content-Length", str(len(body))), *extra]
-        if self.leaving or len(self.handlers) > self.most:
+        if self.leaving:
             headers.append(("Connection", "close"))
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         if body:
             data += http.send(h11.Data(data=body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        async with asyncio.timeout(REQUEST_S):
+        async with asyncio.timeout(TAKE_S):
             await writer.drain()
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -272,41 +272,88 @@
     play(LISTS[name])
 
 
-# Guards against clients past the cap losing requests: they are answered, and each connection once.
-def test_past_the_cap_of_connections_requests_are_refused_and_the_idle_make_room() -> None:
+# Guards against jobs refused for want of a connection while others hold theirs and say nothing.
+def test_silent_and_idle_connections_make_room_for_jobs() -> None:
     play("""
         c send job poloha r1
         w expect r1
-        c2 send job poloha r2
-        w next
-        w expect r2
-        c3 send job poloha r3
-        c3 expect HTTP/1.1 503 .*Connection: close
+        w send lines r1 done=one .
+        c expect HTTP/1.1 200
+        c2 send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+        c2 expect 200
+        c3 send
+        c4 send POST /api HTTP/1.1\\r\\n
+        c5 send job poloha r5
         c3 expect-close
-        w send lines r2 done=ok .
-        c2 expect HTTP/1.1 200
-        count requests.taken 2
-        c4 send job poloha r4
+        w expect r5
+        c6 send job poloha r6
+        c4 expect-close
+        w next
+        w expect r6
+        c7 send job poloha r7
         c2 expect-close
-        w expect r4
-        w send lines r4 done=ok .
-        c4 expect HTTP/1.1 200
-    """, limits={"sockets": 7})
+        w next
+        w expect r7
+        c send job poloha r8
+        c expect Retry-After: 1.000
+        c5 close
+        c6 close
+        w send lines r7 done=seven .
+        c7 expect 200 .*seven
+        count connections.yielded 3
+    """, limits={"sockets": 8})
+
+
+HEAD = "POST /api HTTP/1.1\\r\\nHost: a\\r\\n"
+READY = "GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n"
+BAD_CLIENTS = {
+    # Guards against a client that sends half a request, or nothing, holding its socket for ever.
+    "half a request": f"c send {HEAD}\n c expect HTTP/1.1 408\n c expect-close",
+    "silence": "c send\n c expect HTTP/1.1 408\n c expect-close",
+    "half a request after a good one, which may idle before": f"""
+        c send {READY}
+        c expect 200
+        wait 400
+        c send {HEAD}
+        c expect HTTP/1.1 408
+        c expect-close
+    """,
+    # Guards against an error that is lost, as the client was still sending when the socket closed.
+    "a client that goes on sending reads why it is closed": f"""
+        c send {HEAD}Content-Length: 60000000\\r\\n\\r\\n{'a' * 50_000}
+        wait 30
+        c send {'a' * 50_000}
+        c send {'a' * 50_000}
+        c expect HTTP/1.1 413
+        c expect-close
+    """,
+    "the id of an open request is refused, and that one goes on": """
+        c send job vyuctovani r1
+        w expect r1
+        c2 send job vyuctovani r1
+        c2 expect HTTP/1.1 409
+        c2 expect-close
+        w send lines r1 done=one .
+        c expect 200 .*one
+        count calls.sent 1
+    """,
+    "one that sends ahead and leaves ends its request": """
+        c send job poloha r1
+        w expect r1
+        c send job poloha r2
+        wait 20
+        c close
+        w expect-close
+        count requests.client_gone 1
+    """,
+}
 
 
-# Guards against a client that sends half a request holding its socket for ever.
-def test_half_a_request_is_timed_out(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("name", BAD_CLIENTS)
+def test_bad_clients(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "FRESH_S", 0.1)
     monkeypatch.setattr(http, "REQUEST_S", 0.1)
-    play("""
-        c send POST /api HTTP/1.1\\r\\nHost: a\\r\\n
-        c expect HTTP/1.1 408
-        c expect-close
-        c2 send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
-        c2 expect 200
-        wait 300
-        c2 send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
-        c2 expect 200
-    """)
+    play(BAD_CLIENTS[name])
 
 
 def test_leaving() -> None:
