Gateways tell each other their counts; sums of counts say who is free

Most refusals are Balancer._shed's on what a report says of the queue.

LOOK_TTL_MS takes it for this moment, and corrects it only by this gateway's own sends since it changed (Reports.free). Ruled out: probes that come late or fail (all answered within milliseconds) and the sockets' own delay (1 ms each way).

Now: counts cross between gateways, 9 bytes a change, where the settings allow and the price is low; a worker is available while all gateways' counts leave the job's slots free of those of an idle worker of its kind. Picks still go by each gateway's own counts and times. Reports and looks serve while a gateway is silent or a kind was never seen idle.

The tests of gateways in pairs fail without the change.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from heapq import heappop, heappush
 from math import exp, log
 
@@ -82,9 +82,19 @@
 FETCH_STEP = 0.03  # share; how fast the view of that moves with each served job
 WATCH_SPREAD = 0.6  # share of the ask interval over which gateways spread their first call
 RETRY_LIST_MS = 700.0  # ms; the first wait after a failed call for the list; doubles, jittered
+TELL_MS = 1_000.0  # ms; a gateway tells all its counts so often, and each change at once
+TELL_PRICE = 0.02  # points of the goal that telling may cost
+TELL_TTL_MS = 3_500.0  # ms; a gateway that told nothing for so long is not there
+IDLE_STEP = 0.1  # share; how fast the view of a kind's slots moves with each report of an idle worker
 LOG_LINES = 12  # lines in all; an instance tells of rare changes only
 
-_ALARM_CHECK, _ALARM_END, _ALARM_LIST, _ALARM_LOOK, _ALARM_START = range(5)
+_ALARM_CHECK, _ALARM_END, _ALARM_LIST, _ALARM_LOOK, _ALARM_START, _ALARM_TELL = range(6)
+# What a gateway tells: the format, what it is, its number in a row (2 bytes), and then workers (4 bytes
+# each) with the slots of its attempts there (1 byte).
+_HEAD, _COUNT, _FORMAT = 4, 5, 0xC1
+# Some counts, all of them, all and a wish to be told all; and the slots of each kind of worker.
+_CHANGE, _ALL, _HELLO, _SLOTS = range(4)
+_COUNTS_MOST = 50  # in a message of 256 bytes
 
 
 # --- profiles and shares ----------------------------------------------------------------------
@@ -254,7 +264,7 @@
     """Which values a load report holds, and what they say of a worker."""
 
     __slots__ = ("slots", "memory", "inflight", "queue", "latency", "useful", "ttl_ms",
-                 "in_order", "most_free")
+                 "in_order", "most_free", "idle_free")
 
     def __init__(self, fields: Sequence[str], ttl_ms: float, in_order: bool) -> None:
         def place(name: str) -> int:
@@ -269,6 +279,7 @@
         self.ttl_ms = ttl_ms
         self.in_order = in_order
         self.most_free: dict[int, float] = {}  # slots, by kind of worker
+        self.idle_free: dict[int, float] = {}  # the mean of reports of idle workers, by kind
 
     def take(self, now: float, w: Worker, report: tuple[float, ...]) -> None:
         """Note a report.  One that repeats the last values was not refreshed in between."""
@@ -281,7 +292,11 @@
                 # The most slots seen free on any worker of the kind, not free ones plus jobs held:
                 # behind a head that does not fit many jobs wait beside free slots, and would count
                 # as capacity.  One worker alone may never be seen empty under load.
-                self.most_free[w.kind] = w.capacity = max(self.most_free.get(w.kind, 0.0), report[self.slots])
+                free = report[self.slots]
+                self.most_free[w.kind] = w.capacity = max(self.most_free.get(w.kind, 0.0), free)
+                if self.inflight >= 0 and report[self.inflight] < 0.5:
+                    mean = self.idle_free.get(w.kind, free)
+                    self.idle_free[w.kind] = mean + (free - mean) * IDLE_STEP  # reports are noisy
         w.report_at = now
 
     def free(self, now: float, w: Worker, slots: float, memory: float) -> bool | None:
@@ -308,6 +323,59 @@
         return (waiting + 1.0) * service / max(1.0, w.capacity)
 
 
+def _message(what: int, number: int, counts: Iterable[tuple[int, float]]) -> bytes:
+    """What a gateway tells, as bytes."""
+    parts = [wid.to_bytes(4, "big") + bytes([min(255, round(n))]) for wid, n in counts]
+    return bytes([_FORMAT, what]) + (number & 65535).to_bytes(2, "big") + b"".join(parts)
+
+
+class Peers:
+    """What the other gateways have out at each worker, as they tell.
+
+    Reports tell of a moment up to two seconds ago, and of it late; counts cross in milliseconds.  Sums of
+    them say who is free now.  A message holds counts, not changes, so a lost one is mended by the next.
+    """
+
+    __slots__ = ("others", "counts", "heard", "last")
+
+    def __init__(self, others: int) -> None:
+        self.others = others
+        self.counts: dict[int, dict[int, int]] = {}
+        self.heard: dict[int, float] = {}
+        self.last: dict[int, int] = {}
+
+    def take(self, now: float, sender: int, data: bytes, idle_free: dict[int, float]) -> bool:
+        """Note what a gateway tells; whether it wants to be told all.  What cannot be read is dropped."""
+        if len(data) < _HEAD or (len(data) - _HEAD) % _COUNT or data[0] != _FORMAT or data[1] > _SLOTS:
+            return False
+        what, number = data[1], int.from_bytes(data[2:_HEAD], "big")
+        told = {int.from_bytes(data[i:i + 4], "big"): data[i + 4] for i in range(_HEAD, len(data), _COUNT)}
+        if what == _SLOTS:
+            for kind, slots in told.items():
+                idle_free.setdefault(kind, float(slots))
+            return False
+        if what != _HELLO and 0 < (self.last.get(sender, number - 1) - number) % 65536 < 32768:
+            return False  # overtaken by a later one
+        self.last[sender] = number
+        self.heard[sender] = now
+        counts = self.counts.setdefault(sender, {})
+        if what != _CHANGE:
+            counts.clear()
+        counts.update(told)
+        return bool(what == _HELLO)
+
+    def complete(self, now: float) -> bool:
+        """Whether every other gateway tells; one that is down for long has nothing out."""
+        for sender in [s for s, at in self.heard.items() if now - at > TELL_TTL_MS]:
+            del self.heard[sender]
+            self.counts.pop(sender, None)
+        return len(self.heard) >= self.others
+
+    def out(self, worker: int) -> int:
+        """The slots that the others have out at a worker."""
+        return sum(c.get(worker, 0) for c in self.counts.values())
+
+
 # --- the worker list --------------------------------------------------------------------------
 
 
@@ -449,6 +517,7 @@
         self.serial = 0
         self.armed_at = 0.0  # when the pending alarm comes due; 0: none
         self.service = min(c.aim_ms for c in settings.classes)  # ms; the usual time of any job
+        self.ran = self.service  # ms; the usual time of any job from its start
         self.began = now
         self.warm = 0
         self.served_cost = 0.0
@@ -467,6 +536,14 @@
         self.watching = False
         self.list_wait = RETRY_LIST_MS
         self.lines = LOG_LINES
+        self.peers = Peers(settings.balancers - 1)
+        self.told = -1  # messages so far
+        # Each of a job's two changes is told to every other gateway.
+        cost = settings.prices.get("peer", 0.0) * 2 * (_HEAD + _COUNT) / 256
+        others = settings.balancers - 1
+        self.tells = settings.may_tell_peers and others > 0 and cost * others <= TELL_PRICE
+        if self.tells:
+            self._at(now, _ALARM_TELL, None)
         if settings.must_ask:
             # Gateways that start together must not ask together: the list has a fixed capacity.
             self._at(now + settings.ask_within_ms * WATCH_SPREAD * self.rng.random(), _ALARM_LIST, None)
@@ -584,6 +661,11 @@
         usable = [w for w in pool if w not in job.looked and self._usable(w, job, now) == 2]
         fresh = self._draw(job, usable, LOOKS, now)
         job.rounds += 1
+        if self._knows(now):  # the gateways' counts tell who is free, and of this moment
+            job.looked += fresh
+            if job.rounds < LOOK_ROUNDS and not any(self._available(w, job, now) for w in job.looked):
+                self._look(job, now)
+            return False
         for w in fresh:
             job.looked.append(w)
             waiting = self.looking.get(w.id)
@@ -678,11 +760,47 @@
 
     def _available(self, w: Worker, job: Job, now: float) -> bool:
         """Reports tell, else the last 'full' for this size, else a job that had to wait there."""
+        slots = self._slots(w, now)
+        if slots > 0.0:
+            return self._out(w) + job.slots <= slots
         free = self.reports.free(now, w, job.slots, job.memory)
         if free is not None:
             return free
         return not ((w.full_until > now and job.slots >= w.full_slots) or w.busy_until > now)
 
+    def _knows(self, now: float) -> bool:
+        """Whether sums of the gateways' counts tell of every worker who is free."""
+        return all(self._slots(w, now) > 0.0 for w in self.fleet.ready.values())
+
+    def _slots(self, w: Worker, now: float) -> float:
+        """The slots of a worker, where sums of the gateways' counts tell who is free; else 0."""
+        if not self.tells or not self.peers.complete(now):
+            return 0.0
+        return round(self.reports.idle_free.get(w.kind, 0.0))
+
+    def _out(self, w: Worker) -> float:
+        """The slots that all gateways have out at a worker."""
+        return w.out + self.peers.out(w.id)
+
+    def _wait_ms(self, w: Worker, job: Job, now: float) -> float:
+        """How long a job sent now would wait there."""
+        slots = self._slots(w, now)
+        if slots <= 0.0:
+            return self.reports.wait_ms(now, w, self.service)
+        t = job.type
+        slow = t.total / max(1, len(self.fleet.ready)) / (t.rates.get(w.id) or t.kind_rates[w.kind])
+        return max(0.0, self._out(w) + job.slots - slots) / slots * self.ran * slow
+
+    def _tell(self, w: Worker | None, what: int = _CHANGE, to: int = -1) -> None:
+        """Tell the other gateways this one's counts, at one worker or all."""
+        if not self.tells:
+            return
+        some = [w] if w is not None else [x for x in self.fleet.workers.values() if x.out > 0]
+        for at in range(0, len(some) or 1, _COUNTS_MOST):
+            self.told += 1
+            counts = [(x.id, x.out) for x in some[at:at + _COUNTS_MOST]]
+            self.act.tell(to, _message(_CHANGE if at else what, self.told, counts))
+
     def _rank(self, job: Job, now: float, pool: list[Worker]) -> tuple[Worker | None, int]:
         """The first in gap order, and its tier: 0 available, 1 a short wait, 2 a long one, 3 ill.
 
@@ -726,7 +844,7 @@
                 tier = 0
                 seen += 1
             else:
-                tier = 1 if self.reports.wait_ms(now, w, self.service) <= WAIT_OK * job.cls.aim_ms else 2
+                tier = 1 if self._wait_ms(w, job, now) <= WAIT_OK * job.cls.aim_ms else 2
             if tier > best_tier:
                 continue
             gap = counts.get(w.id, 0) - rate * scale
@@ -752,8 +870,8 @@
         zones = self._zones()
         everywhere = self.fleet.pool(zones, kind, job.index)
         if job.looked and not job.attempts:
-            answered = [w for w in job.looked
-                        if now - w.report_at <= LOOK_TTL_MS and w.state == WorkerState.READY]
+            answered = [w for w in job.looked if w.state == WorkerState.READY
+                        and (now - w.report_at <= LOOK_TTL_MS or self._slots(w, now) > 0.0)]
             if answered:
                 return self._rank(job, now, answered)
         if group is not None and job.cls.effect == Effect.KEYED:
@@ -831,7 +949,7 @@
         over = self.strain - SHED_FROM - SHED_VALUE * self._value(job) ** 0.5 * share
         if self.rng.random() * SHED_WIDTH < over or (tier > 0 and share < 0.5):
             return True
-        return tier > 0 and self.reports.wait_ms(now, w, self.service) > job.cls.aim_ms
+        return tier > 0 and self._wait_ms(w, job, now) > job.cls.aim_ms
 
     def _values(self) -> list[float]:
         """What a unit of workers' time earns on each class."""
@@ -877,6 +995,7 @@
             job.key_type.met[w.id] = now
         w.out += job.slots
         w.memory_out += job.memory
+        self._tell(w)
         if w.ready_at > 0.0:
             w.cold_tokens -= job.cost / self.mean_cost
         self.act.send(job.id, w.id, 0.0)
@@ -1060,6 +1179,7 @@
                     del t.counts[w.id]
         w.out -= job.slots
         w.memory_out -= job.memory
+        self._tell(w)
         if report:
             self._take_report(now, w, report)
         self.full += ((status == Status.FULL) - self.full) * FULL_STEP
@@ -1071,6 +1191,8 @@
                                     + job.cost / self.mean_cost)
                 self.served_at = now
             self.service += (latency_ms - self.service) * MEAN_STEP
+            ran = now - a.started_at if a.started_at >= 0 else latency_ms
+            self.ran += (ran - self.ran) * MEAN_STEP
             if job.hint > 0 and a.started_at >= 0:
                 self.run[w.kind] += ((now - a.started_at) / job.hint - self.run[w.kind]) * RUN_STEP
             if latency_ms > 0:
@@ -1171,6 +1293,9 @@
                     self._looked(of, now)
                 elif not of.over and (what == _ALARM_END or not of.started):
                     self._give_up(of, now)
+            elif what == _ALARM_TELL:
+                self._tell(None, _ALL if self.told >= 0 else _HELLO)
+                self._at(now + TELL_MS, _ALARM_TELL, None)
             elif what == _ALARM_LIST and not self.watching:
                 self.act.watch(True)
         self._arm(now)
@@ -1191,7 +1316,10 @@
         self._arm(now)
 
     def on_peer(self, now: float, sender: int, data: bytes) -> None:
-        """Peers are not used."""
+        """Another gateway tells what it has out."""
+        if self.tells and self.peers.take(now, sender, data, self.reports.idle_free):
+            self._tell(None, _ALL, sender)
+            self.act.tell(sender, _message(_SLOTS, 0, self.reports.idle_free.items()))
 
     def _log(self, text: str) -> None:
         if self.lines > 0:
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -22,6 +22,7 @@
         self.cancelled: list[tuple[int, int]] = []
         self.timers: list[tuple[float, int]] = []
         self.probes: list[int] = []
+        self.tells: list[tuple[int, bytes]] = []
         self.lines: list[str] = []
         self.watches = 0
 
@@ -47,7 +48,8 @@
         raise AssertionError("never used")
 
     def tell(self, peer: int, data: bytes) -> None:
-        raise AssertionError("never used")
+        assert len(data) <= 256
+        self.tells.append((peer, data))
 
     def log(self, text: str) -> None:
         self.lines.append(text)
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from math import log
+from typing import Any
 
 import pytest
 
@@ -299,5 +300,81 @@
     assert not world.did.probes
 
 
+def pair(**more: Any) -> tuple[World, World]:
+    """Two gateways that may tell each other, with workers of four slots whose reports were of idle ones."""
+    both = tuple(World(balancers=2, me=me, may_tell_peers=True, may_probe=True, reports_in_probes=True,
+                       report_fields=("free_slots", "queue", "inflight"), **more) for me in (0, 1))
+    for world in both:
+        world.wait(5.0)
+        for w in world.b.fleet.workers:
+            world.b.on_probe_result(world.now, w, Status.OK, 1.0, (4.1, 0.0, 0.0))
+    talk(*both)
+    return both[0], both[1]
+
+
+def talk(*worlds: World) -> None:
+    """Carry what was told, in turn, until nothing more is."""
+    while any(w.did.tells for w in worlds):
+        for me, world in enumerate(worlds):
+            told, world.did.tells = world.did.tells, []
+            for _, data in told:
+                worlds[1 - me].b.on_peer(worlds[1 - me].now, me, data)
+
+
+# Guards against trusting reports: they are of a moment up to two seconds ago, and two gateways that read
+# the same one sent to the same free slots.
+def test_the_other_gateways_counts_say_who_is_free_at_once() -> None:
+    a, b = pair(workers=2)
+    for _ in range(4):
+        a.request(slots=1.0)
+    talk(a, b)
+    taken = Counter(w for _, w in a.did.sends)
+    last = b.request(slots=4.0 - min(taken.values()))
+    assert b.worker_of(last) == min(taken, key=lambda w: taken[w])
+    for request in range(1, 5):
+        a.serve(request)
+    talk(a, b)
+    other = b.request(slots=4.0)
+    assert b.worker_of(other) != b.worker_of(last)
+    assert not a.did.probes and not b.did.probes
+
+
+def test_a_gateway_that_starts_is_told_all_and_one_that_is_silent_is_not_counted_on() -> None:
+    a, b = pair(workers=1)
+    for _ in range(3):
+        a.request()
+    talk(a, b)
+    b = World(workers=1, balancers=2, me=1, may_tell_peers=True, may_probe=True, reports_in_probes=True,
+              report_fields=("free_slots", "queue", "inflight"))
+    b.wait(5.0)
+    talk(a, b)
+    w = b.b.fleet.workers[1]
+    assert (b.b._slots(w, b.now), b.b._out(w)) == (4, 3)
+    b.now += 5_000.0
+    assert b.b._slots(w, b.now) == 0
+    b.request()
+    assert b.did.probes == [1]  # it looks again
+
+
+def test_what_a_gateway_tells_late_or_garbled_is_dropped() -> None:
+    a, b = pair(workers=1)
+    a.request()
+    (_, first), *_ = a.did.tells
+    a.request()
+    talk(a, b)
+    w = b.b.fleet.workers[1]
+    for data in (first, b"", b"\xc1", first[:-1], b"\xc1\x09" + first[2:], b"gh1" + first):
+        b.b.on_peer(b.now, 0, data)
+        assert b.b._out(w) == 2
+
+
+def test_nothing_is_told_where_it_is_dear_or_not_allowed() -> None:
+    for more in ({"prices": {"peer": 2.0}, "may_tell_peers": True}, {"may_tell_peers": False}):
+        world = World(balancers=3, **more)
+        world.request()
+        world.wait(3_000.0, 50.0)
+        assert not world.did.tells
+
+
 def test_safe_class_default_is_what_tests_think() -> None:
     assert SAFE.effect == 0
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from dataclasses import dataclass, field
 
 from hypothesis import HealthCheck, given, settings
@@ -140,9 +141,11 @@
     starts=st.booleans(),
     ask=st.booleans(),
     looks=st.booleans(),
+    told=st.booleans(),
 )
 def test_rules_hold_for_any_legal_events(
-    steps: list[tuple[str, int, int]], seed: int, copies: bool, starts: bool, ask: bool, looks: bool
+    steps: list[tuple[str, int, int]], seed: int, copies: bool, starts: bool, ask: bool, looks: bool,
+    told: bool
 ) -> None:
     setting = Settings(
         classes=CLASSES,
@@ -156,6 +159,8 @@
         reports_in_probes=looks,
         progress_ms=500.0,
         report_fields=("free_slots", "queue"),
+        balancers=3,
+        may_tell_peers=told,
     )
     judge = Judge(setting)
     judge.now = 500.0
@@ -227,7 +232,7 @@
         elif what == "noise":
             b.on_outcome(judge.now, 10**6 + x, y % 4, Status.OK, 1.0, False, ())
             b.on_timer(judge.now, x)
-            b.on_peer(judge.now, 0, bytes([x % 256]))
+            b.on_peer(judge.now, x % 3, struct.pack(">BBHIB", 0xC1, x % 4, x % 65536, 1 + x % 6, x % 9))
     for rid, t in list(judge.requests.items()):
         for i in t.open():
             if x_ran(rid, i):
