Shed by what a job earns for its slots, and call the refused back while it matters

Checked: a trace of what Balancer._shed refused: jobs of four slots and of one alike, as _value divided a class's worth by its time only; valuable and cheap work at the same wait (one aim). Refused clients came back 2 s later (_give_up told max_retry_after_ms), past the aim of two classes of three whatever was done then. Refusals are as prompt as before.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -74,6 +74,9 @@
 STRAIN_LATE = 0.5  # share of the fixed part of an aim; a start later than this is a sign of strain
 SHED_FROM = 0.2  # strain at which worthless work would be shed
 SHED_VALUE = 0.6  # more strain for the most valuable work, by the root of the value of its class's time
+SHED_WAIT = 0.5  # of the fixed part of the aim: a longer wait is shed
+SHED_WAIT_VALUE = 1.5  # more of it for the most valuable work
+RETURN_MS = 300.0  # ms; when a refused client is told to return: soon enough to be in time yet
 SHED_WIDTH = 0.3  # strain from the first shed request of a value to all of them
 SEEN_FADE = 0.995  # a report; how fast the view of this gateway's part of all traffic fades
 KEYS_MAX = 1_024  # keys that are types of their own at once; the longest unused is forgotten
@@ -949,7 +952,8 @@
         over = self.strain - SHED_FROM - SHED_VALUE * self._value(job) ** 0.5 * share
         if self.rng.random() * SHED_WIDTH < over or (tier > 0 and share < 0.5):
             return True
-        return tier > 0 and self._wait_ms(w, job, now) > job.cls.aim_ms
+        patience = SHED_WAIT + SHED_WAIT_VALUE * self._value(job)
+        return tier > 0 and self._wait_ms(w, job, now) > patience * job.cls.aim_ms
 
     def _values(self) -> list[float]:
         """What a unit of workers' time earns on each class."""
@@ -958,9 +962,10 @@
         return [c.worth / exp(t.mean) for c, t in zip(self.set.classes, self.class_types, strict=True)]
 
     def _value(self, job: Job) -> float:
-        """What this job's class earns for its time, as a share of the best class's."""
+        """What this job earns for the slots and time it takes, as a share of the best class's."""
         values = self._values()
-        return values[job.index] / (max(values) or 1.0)
+        share = values[job.index] / (max(values) or 1.0)
+        return share if self.set.worth_by_work else share / max(1.0, job.slots)
 
     def _late_ms(self, job: Job) -> float:
         """The shortest fixed part of an aim among the classes of no less value, in part."""
@@ -1250,7 +1255,8 @@
     def _give_up(self, job: Job, now: float) -> None:
         """The final answer: a refusal where it would be true, else a failure."""
         if self._may_refuse(job):
-            self.act.refuse(job.id, self.set.max_retry_after_ms if self.set.retry_after else 0.0)
+            wait = min(RETURN_MS, self.set.max_retry_after_ms)
+            self.act.refuse(job.id, wait if self.set.retry_after else 0.0)
         else:
             self.act.fail(job.id)
         self._over(job)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self.sends: list[tuple[int, int]] = []
         self.refused: list[int] = []
+        self.returns: list[float] = []
         self.failed: list[int] = []
         self.cancelled: list[tuple[int, int]] = []
         self.timers: list[tuple[float, int]] = []
@@ -31,6 +32,7 @@
 
     def refuse(self, request: int, retry_after_ms: float) -> None:
         self.refused.append(request)
+        self.returns.append(retry_after_ms)
 
     def fail(self, request: int) -> None:
         self.failed.append(request)
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -151,6 +151,23 @@
     assert not any(r in world.did.refused for r in dears)
 
 
+def test_of_equal_work_what_takes_more_slots_goes_first() -> None:
+    world = World(workers=1, tells_start=True, classes=(ClassSettings(aim_ms=300.0, deadline_ms=5000.0),))
+    world.b.strain = 0.75  # past what four slots are worth, short of what one is
+    one, four = world.request(slots=1.0), world.request(slots=4.0)
+    assert (world.did.refused, world.worker_of(one)) == ([four], 1)
+
+
+def test_valuable_work_may_wait_longer_and_the_refused_are_told_to_return_in_time() -> None:
+    classes = [ClassSettings(aim_ms=300.0, deadline_ms=5000.0, worth=worth) for worth in (9.0, 1.0)]
+    world = World(workers=1, classes=tuple(classes), report_fields=("free_slots", "queue", "latency_ms"))
+    world.serve(world.request(), report=(1.0, 0.0, 100.0))
+    world.serve(world.request(), report=(0.0, 3.0, 100.0))  # a wait of 400 ms
+    cheap = world.request(1)
+    assert world.did.refused == [cheap] and world.did.returns == [300.0]
+    assert world.attempts(world.request(0)) == 1
+
+
 def test_log_lines_are_bounded() -> None:
     world = World(workers=40)
     for _ in range(400):
