Prove by a held-back last byte that a job on a dead connection did not run

Checked: a trace of each outbound call's connection. Wire.send wrote the request in one go, so each may have run (_call: RESET), a never-twice job failed and the Balancer struck a healthy worker (on_outcome). Ruled out: connections whose end was already read (Wire.usable catches them) and an idle limit that could be kept to (they end at any age).

Now: Wire.begin holds the last byte for 4 ms. A kept connection that ends by then is replaced within the attempt, a new one counts as not connected, an early 503 as turned away. While over 3% of kept connections end under a request, never-twice jobs take new ones. One reset strikes nobody, two in a row do. An answer to nothing ends a kept connection; done without a result is garbled; a garbled report is only dropped.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -39,6 +39,7 @@
 FULL_STEP = 0.03  # share; how fast the view of how often 'full' comes moves with each attempt
 FULL_BAR_MS = 150.0  # ms; the first bar after 'full', about one short job; doubles up to 16 times
 STRIKE_MS = 1_000.0  # ms; the first bar of a worker that failed to connect or fell silent; doubles
+RESETS = 2  # resets in a row that count as a failure: one alone is a connection's, not its worker's
 STRIKE_MAX = 16  # times; the longest bar, so that a recovered worker is tried again within seconds
 QUIET_NOTES = 2.5  # progress gaps without a note from running work: standing still
 QUIET_TIMES = 4.0  # typical response times without any sign: silent, where no notes are promised
@@ -233,7 +234,7 @@
     __slots__ = ("id", "kind", "zone", "cell", "able", "state", "ready_at", "out", "report", "report_at",
                  "report_new_at", "out_then", "memory_out", "memory_then", "capacity", "full_until",
                  "full_slots", "full_times", "busy_until", "heard_at", "strikes", "struck_until",
-                 "trial", "cold_tokens", "cold_at")
+                 "trial", "cold_tokens", "cold_at", "resets")
 
     def __init__(self, entry: ListedWorker) -> None:
         self.id = entry.worker
@@ -256,7 +257,7 @@
         self.full_until = self.busy_until = self.heard_at = -1e18
         self.full_slots = 0.0
         self.full_times = 0
-        self.strikes = 0
+        self.strikes = self.resets = 0
         self.struck_until = -1e18
         self.trial = False
         self.cold_tokens = first_token
@@ -1148,6 +1149,7 @@
 
     def _well(self, w: Worker, now: float) -> None:
         w.heard_at = now
+        w.resets = 0
         self._saw_zone(w, False)
         if w.strikes:
             w.strikes = 0
@@ -1212,7 +1214,9 @@
             self._saw_zone(w, True)
             self._strike(w, now, "no connection")
         elif status == Status.RESET and not a.cancelled:
-            self._strike(w, now, "reset")
+            w.resets += 1
+            if w.resets >= RESETS:
+                self._strike(w, now, "reset")
         if status not in NEVER_RAN:
             if job.ran_group is None:
                 job.ran_group, job.ran_since = w, a.sent_at
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -20,7 +20,7 @@
 
 from ..config import Address, Config, address
 from ..core import Answer, Call, Core, Destination, Ending, Job, Outcome, Tasks
-from ..interface import Status
+from ..interface import Effect, Status
 from ..metrics import Counters
 
 BODY_MOST = 64 * 1024
@@ -37,6 +37,11 @@
 TAKE_S = 10.0  # for a client to take an answer
 LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
 LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
+HOLD_S = 0.004  # a job's last byte is held back for so long; a connection that is dead shows it by then
+# Workers may end a kept connection when the next request has come in whole, and then that may have run.
+# A never-twice job takes a new connection while more than this share of the kept ones ends so.
+STALE = 0.03
+STALE_STEP = 0.05  # share; how fast the view of that share moves with each request on a kept connection
 PROBE_S = 0.2
 IDLE_PART = 0.5  # of the time after which the worker's machine closes an idle connection
 TAIL_S = 1.0  # for the end of an answer whose result is in
@@ -54,14 +59,18 @@
     """The request's last byte was not written."""
 
 
+class EarlyAnswerError(NeverWrittenError):
+    """The other side spoke before the request's last byte was written."""
+
+
 class Line(msgspec.Struct):
     """One line of a worker's answer."""
 
     state: str
     id: str = ""
     share: float = 0.0
-    result: Any = None
-    load: dict[str, float] | None = None
+    result: Any = msgspec.UNSET
+    load: Any = None
 
 
 _line = msgspec.json.Decoder(Line)
@@ -90,6 +99,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
         self.used = False
+        self.heard = False  # whether anything of the present answer has come
         writer.transport.set_write_buffer_limits(high=0)
 
     @classmethod
@@ -108,15 +118,48 @@
 
     async def send(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> None:
         """Write a whole request; NeverWrittenError if its last byte did not leave."""
+        await self._write(self._render(method, target, headers, body))
+
+    async def begin(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
+        """Write a request but for its last byte, which is given back for ``finish``, and wait a moment.
+
+        Guards against connections that the other side resets when the next request comes: written in one
+        go such a request may have run, and a never-twice one failed.  So the reset is here before the last
+        byte, and NeverWrittenError says that it did not run.
+        """
+        data = self._render(method, target, headers, body)
+        await self._write(data[:-1])
+        try:
+            async with asyncio.timeout(HOLD_S):
+                early = await self.reader.read(READ)
+        except TimeoutError:
+            return data[-1:]
+        except OSError:
+            raise NeverWrittenError from None
+        if not early:
+            raise NeverWrittenError
+        self.http.receive_data(early)
+        raise EarlyAnswerError
+
+    async def finish(self, last: bytes) -> None:
+        """Write a request's last byte."""
+        await self._write(last)
+
+    def _render(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
         if self.used:
             self.http.start_next_cycle()
         self.used = True
+        self.heard = False
         head = self.http.send(h11.Request(method=method, target=target, headers=list(headers))) or b""
         content = self.http.send(h11.Data(data=body)) if body else b""
         self.http.send(h11.EndOfMessage())
+        return head + (content or b"")
+
+    async def _write(self, data: bytes) -> None:
+        """Hand bytes to the socket, all of them."""
         if not self.usable:
             raise NeverWrittenError
-        self.writer.write(head + (content or b""))
+        self.writer.write(data)
         try:
             if self.writer.transport.is_closing():
                 raise NeverWrittenError
@@ -131,7 +174,9 @@
             try:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    self.http.receive_data(await self.reader.read(READ))
+                    data = await self.reader.read(READ)
+                    self.heard = self.heard or bool(data)
+                    self.http.receive_data(data)
                     continue
             except (OSError, h11.RemoteProtocolError) as error:
                 raise ConnectionLostError(str(error)) from None
@@ -152,6 +197,8 @@
     @property
     def reusable(self) -> bool:
         """Whether the last exchange ended so that the next may follow."""
+        if self.http.trailing_data[0]:
+            return False  # it said more than it was asked
         return self.usable and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
     def close(self) -> None:
@@ -167,9 +214,9 @@
         self.owner = owner
         self.idle: list[Wire] = []
 
-    async def take(self) -> Wire:
+    async def take(self, fresh: bool = False) -> Wire:
         """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
-        while self.idle:
+        while self.idle and not fresh:
             wire = self.idle.pop()
             if wire.usable:
                 return wire
@@ -220,6 +267,8 @@
         self.report_fields = config.report_fields
         self.class_names = config.class_names
         self.service = f"{config.listen[0]}:{config.listen[1]}"
+        self.once = [c.effect != Effect.SAFE for c in config.settings.classes]
+        self.stale = 0.0  # the share of kept connections that end under the next request
         self.pools: dict[Address, Pool] = {}
         self._tasks = Tasks(counters)
         self._calls: dict[int, asyncio.Task[None]] = {}
@@ -308,15 +357,38 @@
         try:
             async with asyncio.timeout((call.ends - self.core.clock.now()) / 1000.0):
                 outcome.status = Status.CONNECT_FAILED
-                wire = await pool.take()
-                call.written = True
+                while not call.written:
+                    wire = await pool.take(self.once[call.job.class_index] and self.stale > STALE)
+                    kept = wire.used
+                    try:
+                        last = await self._begin(call, wire)
+                    except NeverWrittenError as error:
+                        if kept:  # nothing left in whole: the same attempt takes another connection
+                            self._saw_kept(stale=True)
+                            pool.drop(wire)
+                            wire = None
+                            continue
+                        if isinstance(error, EarlyAnswerError):
+                            early = await self._outcome(call, wire)
+                            outcome.status = Status.FULL if early.status == Status.FULL else outcome.status
+                            outcome.report = early.report
+                        raise
+                    call.written = True
+                    try:
+                        await wire.finish(last)
+                    except NeverWrittenError:
+                        call.written = False
+                        raise
+                assert wire is not None
+                outcome.status = Status.RESET
                 try:
-                    await self._write(call, wire)
-                except NeverWrittenError:
-                    call.written = False
+                    outcome = await self._outcome(call, wire)
+                except ConnectionLostError:
+                    if kept:
+                        self._saw_kept(stale=not wire.heard)
                     raise
-                outcome.status = Status.RESET
-                outcome = await self._outcome(call, wire)
+                if kept:
+                    self._saw_kept(stale=False)
         except TimeoutError:
             if outcome.status == Status.RESET:
                 outcome = Outcome(Status.TIMEOUT)
@@ -326,7 +398,7 @@
             outcome = Outcome(Status.CANCELLED)
         call.over = True  # from here on nothing may call it off: its outcome is on the way
         del self._calls[id(call)]
-        keep = wire is not None and outcome.status in (Status.OK, Status.FULL, Status.ERROR)
+        keep = wire is not None and call.written and outcome.status in (Status.OK, Status.FULL, Status.ERROR)
         if wire is not None and not keep:
             pool.drop(wire)
         await self.core.post(lambda: self.core.ended(call, outcome))
@@ -340,14 +412,20 @@
             finally:
                 pool.give_back(wire, self.core.clock.now())
 
-    async def _write(self, call: Call, wire: Wire) -> None:
+    def _saw_kept(self, stale: bool) -> None:
+        """Note how a kept connection was found: whether it ended under the next request, unheard."""
+        if stale:
+            self.counters.add("connections.stale")
+        self.stale += (stale - self.stale) * STALE_STEP
+
+    async def _begin(self, call: Call, wire: Wire) -> bytes:
         job = call.job
         left = max(1, int(call.ends - self.core.clock.now()))
         headers = [("Host", self.service), ("X-Request-ID", job.ident), ("X-Timeout", f"{left}m"),
                    ("X-Priority-Class", self.class_names[job.class_index]),
                    ("Content-Length", str(len(job.body)))]
         try:
-            await wire.send(job.method, job.target, headers, job.body)
+            return await wire.begin(job.method, job.target, headers, job.body)
         except h11.LocalProtocolError as error:
             raise NeverWrittenError(str(error)) from None
 
@@ -364,14 +442,16 @@
         async for line in self._lines(wire):
             if line.id not in ("", call.job.ident):
                 raise ConnectionLostError("an answer to another request")
-            if line.load:
-                report = tuple(float(line.load.get(f, 0.0)) for f in self.report_fields)
+            if isinstance(line.load, dict):
+                report = parse_load(msgspec.json.encode(line.load), self.report_fields)
             if line.state == "started":
                 await self.core.post(lambda: self.core.started(call))
             elif line.state == "running":
                 await self.core.post(lambda share=line.share: self.core.progressed(call, share))  # type: ignore[misc]
             elif line.state == "done":
                 result = line.result
+                if result is msgspec.UNSET:
+                    raise self._garbled("done without a result")
                 body = result.encode() if isinstance(result, str) else msgspec.json.encode(result)
                 return Outcome(Status.OK, body, report)
             elif line.state in ENDINGS:
@@ -396,8 +476,11 @@
         try:
             return _line.decode(text)
         except msgspec.DecodeError as error:
-            self.counters.log("garbled.answer", str(error))
-            raise ConnectionLostError("garbled line") from None
+            raise self._garbled(str(error)) from None
+
+    def _garbled(self, why: str) -> ConnectionLostError:
+        self.counters.log("garbled.answer", why)
+        return ConnectionLostError("garbled line")
 
 
 ENDINGS = {"failed": Status.ERROR, "returned": Status.FULL, "lost": Status.RESET}
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
     expect  a regular expression in what the actor has received since its last expect; ``#N`` at its
             start stands for the head of a Gearman packet of type N, a named group is kept as ``$NAME``
     close   end the connection; ``expect-close`` waits until the other side does
+    early   before ``send`` or ``close`` of a worker: before the request's last byte has come, else after it
     next    a listening actor turns to its next connection and leaves the current one open
     wait    ``wait MS``; ``term``: SIGTERM's effect; ``reload ACTOR``: SIGHUP's, with that
             actor as the new agent (``faulty``: with a file that cannot be read);
@@ -28,6 +29,7 @@
 from gaphub import config as conf
 from gaphub.__main__ import Reload, serve
 from gaphub.metrics import Counters
+from gaphub.net import http
 
 CLASSES = [
     {"name": "poloha", "slo": 500.0, "deadline": 5000.0, "idempotency": "idempotent"},
@@ -221,6 +223,10 @@
         else:
             side = await self.side(actor)
             verb, _, rest = rest.partition(" ")
+            if verb == "early":
+                verb, _, rest = rest.partition(" ")
+            elif actor in "wx" and verb in ("send", "close"):
+                await asyncio.sleep(2 * http.HOLD_S)
             if verb == "send":
                 await side.ready()
                 assert side.writer is not None
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -127,6 +127,99 @@
 }
 
 HIDDEN = "0\\r\\n\\r\\nPOST /api HTTP/1.1\\r\\nHost: a\\r\\nX-Request-ID: r9\\r\\n\\r\\n"
+DEAD = {
+    "a kept connection that is reset under the next request: the attempt takes another": """
+        c send job vyuctovani r1
+        w expect r1
+        w send lines r1 done=one .
+        c expect 200 .*one
+        c send job vyuctovani r2
+        w expect r2
+        w early close
+        w expect r2
+        w send lines r2 done=two .
+        c expect 200 .*two
+        count connections.stale 1
+        count calls.sent 2
+    """,
+    "once kept connections end after the last byte, never-twice jobs take new ones": """
+        c send job vyuctovani r1
+        w expect r1
+        w send lines r1 done=one .
+        c expect 200 .*one
+        c send job poloha r2
+        w expect r2
+        w close
+        c expect HTTP/1.1 503
+        c send job poloha r3
+        w expect r3
+        w send lines r3 done=three .
+        c expect 200 .*three
+        c send job vyuctovani r4
+        w next
+        w expect r4
+        w send lines r4 done=four .
+        c expect 200 .*four
+        count connections.stale 1
+        count connections.outbound 3
+    """,
+    "a new connection that breaks before the last byte: a never-twice job goes elsewhere": """
+        c send job vyuctovani r1
+        w expect r1
+        d send list 42 changes x=active
+        d expect index=42
+        w early close
+        x expect r1
+        x send lines r1 done=ok .
+        c expect 200 .*ok
+        count calls.connect_failed 1
+    """,
+    "turned away before the last byte": """
+        c send job vyuctovani r1
+        w expect r1
+        d send list 42 changes x=active
+        d expect index=42
+        w early send status 503 X-Not-Processed:1
+        x expect r1
+        x send lines r1 done=ok .
+        c expect 200 .*ok
+        count calls.full 1
+    """,
+    "an answer to nothing on a kept connection is not taken for the next one's": """
+        c send job vyuctovani r1
+        w expect r1
+        w send lines r1 done=one .
+        c expect 200 .*one
+        w send lines r2 done=none .
+        c send job vyuctovani r2
+        w next
+        w expect r2
+        w send lines r2 done=two .
+        c expect 200 .*two
+    """,
+    "served without a result is no result": """
+        c send job vyuctovani r1
+        w expect r1
+        w send lines r1 done .
+        c expect HTTP/1.1 502
+        count garbled.answer 1
+    """,
+    "a garbled report does not undo what was served": """
+        c send job vyuctovani r1
+        w expect r1
+        w send status 200 body={"id":"r1","state":"done","result":"ok","load":{"queue":"many"}}
+        c expect 200 .*ok
+    """,
+}
+
+
+# Guards against never-twice jobs that fail, though it could have been known that they did not run.
+@pytest.mark.parametrize("name", DEAD)
+def test_dead_connections(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "HOLD_S", 0.15)
+    play("d expect index=41\n" + DEAD[name])
+
+
 REFUSED = {
     "two lengths": (f"c send job poloha r1 {'a' * 5} Content-Length:5", "400"),
     "a length and a coding: what the body hides is never read as a request": (
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -24,6 +24,19 @@
     assert sum(world.worker_of(world.request()) == bad for _ in range(6)) == 1  # one job is its trial
 
 
+def test_one_reset_is_its_connections_and_two_are_the_workers() -> None:
+    world = World(workers=2)
+    r = world.request()
+    bad = world.worker_of(r)
+    world.outcome(r, 0, Status.RESET)
+    assert world.b.fleet.workers[bad].struck_until < world.now
+    world.serve_last(r)
+    while world.worker_of(r := world.request()) != bad:
+        pass
+    world.outcome(r, 0, Status.RESET)
+    assert world.b.fleet.workers[bad].struck_until > world.now
+
+
 def test_a_silent_worker_is_ruled_out_and_its_safe_job_sent_elsewhere() -> None:
     world = World(workers=2, classes=(ClassSettings(aim_ms=3000.0, deadline_ms=5000.0),))
     for _ in range(300):
