Count what a worker may go on with, and not what a silent connection holds

Checked: a trace of every decision. All jobs that failed were never-twice ones on a silent connection; each held its slots in the counts for its 10 or 20 s, though the worker was done. Attempts called off left the counts at once (on_outcome), though the worker runs them to their end. _check struck a worker for one attempt without a sign, whatever else it was heard of. Ruled out: slow writers cut off by the first request's time (no 408 in the logs).

Now: an attempt that ends unheard (timed out, reset, called off) is counted for the rest of its usual time; one without a sign for six usual times, or overtaken in the queue by later ones, is counted no longer, and if it may be repeated it is called off and sent again. A worker that is heard of is not struck as silent.

The two new tests fail without the change.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -39,6 +39,10 @@
 FULL_STEP = 0.03  # share; how fast the view of how often 'full' comes moves with each attempt
 FULL_BAR_MS = 150.0  # ms; the first bar after 'full', about one short job; doubles up to 16 times
 STRIKE_MS = 1_000.0  # ms; the first bar of a worker that failed to connect or fell silent; doubles
+UNHEARD = frozenset((Status.TIMEOUT, Status.RESET, Status.CANCELLED))  # what the worker may go on with
+REST_LEAST = 0.3  # of a usual response time; how long such an attempt is still counted at the least
+AGAIN_TIMES = 6.0  # usual response times without any sign: a repeatable job is called off and sent again
+OVERTAKEN_MS = 200.0  # ms; sent so much before one that has started, an attempt waits in no queue
 RESETS = 2  # resets in a row that count as a failure: one alone is a connection's, not its worker's
 STRIKE_MAX = 16  # times; the longest bar, so that a recovered worker is tried again within seconds
 QUIET_NOTES = 2.5  # progress gaps without a note from running work: standing still
@@ -144,14 +148,9 @@
                 x -= self.fetch  # the profile is that of jobs that need fetch nothing
         self.served += 1
         self.mean += (x - self.mean) * max(MEAN_STEP, 1.0 / (self.served + 1))
-        entry = self.samples.get(worker.id)
-        if entry is None:
-            self.samples[worker.id] = [1.0, x - self.mean, now, worker.kind]
-        else:
-            fade = exp((entry[2] - now) / PROFILE_FADE_MS)
-            entry[0] = entry[0] * fade + 1.0
-            entry[1] = entry[1] * fade + x - self.mean
-            entry[2] = now
+        entry = self.samples.setdefault(worker.id, [0.0, 0.0, now, worker.kind])
+        fade = exp((entry[2] - now) / PROFILE_FADE_MS)
+        entry[:3] = [entry[0] * fade + 1.0, entry[1] * fade + x - self.mean, now]
         self.stale = True
 
     def solve(self, now: float, ready: dict[int, Worker], kind_counts: list[int], jitter: float) -> None:
@@ -184,15 +183,13 @@
 
     def forget(self, worker: int) -> None:
         """A restarted or removed worker is not judged by its past."""
-        if self.samples.pop(worker, None) is not None:
-            self.stale = True
+        self.stale = self.samples.pop(worker, None) is not None or self.stale
 
 
 class KeyType:
     """A type that is a key: its counts, and which workers ran it lately.
 
-    A key is met too seldom for profiles of its own, so it borrows its class's: of a worker that has met
-    it the measured profile, of the others that profile with a fetch.
+    It borrows its class's profiles: of a worker that has met it as measured, of the others with a fetch.
     """
 
     __slots__ = ("base", "n", "counts", "met", "draw", "key")
@@ -211,11 +208,7 @@
         return at is not None and now - at < MET_MS
 
     def order(self, w: Worker, rate: float) -> float:
-        """The place of a worker in a draw without return, in proportion to the shares.
-
-        The draw comes from the key and the worker alone, so every gateway draws alike and a key stays
-        where it was fetched.
-        """
+        """The place of a worker in a draw in proportion to the shares, alike at every gateway."""
         e = self.draw.get(w.id)
         if e is None:
             x = (self.key ^ (w.id * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
@@ -234,7 +227,7 @@
     __slots__ = ("id", "kind", "zone", "cell", "able", "state", "ready_at", "out", "report", "report_at",
                  "report_new_at", "out_then", "memory_out", "memory_then", "capacity", "full_until",
                  "full_slots", "full_times", "busy_until", "heard_at", "strikes", "struck_until",
-                 "trial", "cold_tokens", "cold_at", "resets")
+                 "trial", "cold_tokens", "cold_at", "resets", "begun")
 
     def __init__(self, entry: ListedWorker) -> None:
         self.id = entry.worker
@@ -255,6 +248,7 @@
         self.report_at = self.report_new_at = -1e18
         self.out_then = self.memory_then = 0.0
         self.full_until = self.busy_until = self.heard_at = -1e18
+        self.begun = -1e18  # when the last of the attempts that have started was sent
         self.full_slots = 0.0
         self.full_times = 0
         self.strikes = self.resets = 0
@@ -314,10 +308,7 @@
         return self.memory < 0 or r[self.memory] - (w.memory_out - w.memory_then) >= memory
 
     def wait_ms(self, now: float, w: Worker, typical: float) -> float:
-        """How long a job sent now would wait there, where reports name the queue.
-
-        Not from jobs held and free slots: behind a head that does not fit many wait beside free slots.
-        """
+        """How long a job sent now would wait there, where reports name the queue (not free slots)."""
         if self.queue < 0 or now - w.report_at > self.ttl_ms or not w.report:
             return 0.0
         waiting = w.report[self.queue] + max(0.0, w.out - w.out_then)
@@ -450,7 +441,7 @@
     """One attempt of a request."""
 
     __slots__ = ("job", "index", "worker", "sent_at", "started_at", "noted_at", "open",
-                 "waited", "cancelled", "local")
+                 "waited", "cancelled", "local", "holds", "until")
 
     def __init__(self, job: Job, index: int, worker: Worker, now: float, local: bool) -> None:
         self.job = job
@@ -463,6 +454,8 @@
         self.waited = False
         self.cancelled = False
         self.local = local
+        self.holds = True  # counted among what its worker has; until then, where it ended unheard
+        self.until = 0.0
 
 
 class Job:
@@ -601,10 +594,7 @@
         return base, found
 
     def _within_share(self, now: float, tenant: int) -> bool:
-        """Whether this request is within its tenant's quota, of which this gateway has a part.
-
-        The part is what reports show of it: its own jobs among all that workers hold.
-        """
+        """Whether this request is within this gateway's part of its tenant's quota, by what reports show."""
         if tenant >= len(self.quota):
             return True
         # One job of its own among one of each gateway is assumed before reports tell more.
@@ -655,11 +645,7 @@
     # -- looking before sending --
 
     def _look(self, job: Job, now: float) -> bool:
-        """Probe a few workers, drawn in proportion to their shares; the send follows the answers.
-
-        Acts where load is reported to probes only: then a look is the only way to know who is
-        available, and a fleet of gateways with few jobs each knows nothing without it.
-        """
+        """Draw a few workers in proportion to their shares; where counts do not tell, probe them first."""
         near = self.set.zones > 1 and self.cut[self.set.zone] <= CUT and self.local_busy < LOCAL_BUSY
         pool = self.fleet.pool((self.set.zone,) if near and not job.rounds else (), job.cls.kind, job.index)
         usable = [w for w in pool if w not in job.looked and self._usable(w, job, now) == 2]
@@ -734,10 +720,9 @@
         return 2
 
     def _cold_allows(self, w: Worker, job: Job, now: float) -> bool:
-        """A cold worker gets no more than its present part of what a warm one carries.
+        """A cold worker gets no more than its present part of what a warm one carries, of each gateway.
 
-        Every gateway does so for its own traffic, so the sum holds however traffic is spread; the
-        first token is drawn at random, so that gateways with little traffic do not come together.
+        The first token is drawn at random, so that gateways with little traffic do not come together.
         """
         s = self.set
         age = now - w.ready_at
@@ -754,11 +739,7 @@
         return w.cold_tokens >= min(cost, 1.0) and cost <= COLD_LIGHT
 
     def _served_rate(self, now: float) -> float:
-        """Mean jobs a ms that this gateway gets served by warm workers.
-
-        Not what it sends: in a jam copies, retries and refused work are many times what the
-        fleet can do, and a cold worker given a part of that by every gateway falls over.
-        """
+        """Mean jobs a ms that this gateway gets served by warm workers; it may send many times that."""
         known = 1.0 - exp((self.began - now - 1.0) / RATE_MS)  # of the time over which it is measured
         return self.served_cost * exp((self.served_at - now) / RATE_MS) / (RATE_MS * known)
 
@@ -791,8 +772,7 @@
         slots = self._slots(w, now)
         if slots <= 0.0:
             return self.reports.wait_ms(now, w, self.service)
-        t = job.type
-        slow = t.total / max(1, len(self.fleet.ready)) / (t.rates.get(w.id) or t.kind_rates[w.kind])
+        slow = self._usual_ms(job, w) / exp(job.type.mean) / (job.hint if job.hint > 0 else 1.0)
         return max(0.0, self._out(w) + job.slots - slots) / slots * self.ran * slow
 
     def _tell(self, w: Worker | None, what: int = _CHANGE, to: int = -1) -> None:
@@ -808,9 +788,8 @@
     def _rank(self, job: Job, now: float, pool: list[Worker]) -> tuple[Worker | None, int]:
         """The first in gap order, and its tier: 0 available, 1 a short wait, 2 a long one, 3 ill.
 
-        The one picking function.  With few jobs in flight, gaps of whole counts cannot express the
-        shares and all gateways would pick the same fast workers; then as many workers as the counts
-        can tell apart are drawn in proportion to the shares, and ranked.
+        With few jobs in flight, gaps of whole counts cannot express the shares; then only as many workers
+        as the counts can tell apart are drawn in proportion to the shares, and ranked.
         """
         t = job.type
         if t.stale and now >= t.solve_at:
@@ -894,11 +873,7 @@
         return self._rank(job, now, everywhere)
 
     def _zones(self) -> tuple[int, ...]:
-        """The zones to look at; () for all.
-
-        A zone that is lost or cut off fails for worker after worker, and each lesson costs a job the
-        time of a connection.  A few jobs still try it, so that its return is seen.
-        """
+        """The zones to look at; () for all.  A few jobs try one that is cut off, to see its return."""
         if max(self.cut) <= CUT or self.rng.random() < CUT_TRIAL:
             return ()
         return tuple(z for z, c in enumerate(self.cut) if c <= CUT)
@@ -944,11 +919,7 @@
         return True
 
     def _shed(self, job: Job, w: Worker, tier: int, now: float) -> bool:
-        """Overload: what is over a tenant's share goes first, then what would wait too long.
-
-        The first acts before queues form: gateways that all wait for the last free worker have
-        filled every queue by the time they see it.
-        """
+        """Overload: what is over a tenant's share goes first, before queues form; then what would wait."""
         share = self.set.over_share_worth if job.over_share else 1.0
         over = self.strain - SHED_FROM - SHED_VALUE * self._value(job) ** 0.5 * share
         if self.rng.random() * SHED_WIDTH < over or (tier > 0 and share < 0.5):
@@ -975,11 +946,7 @@
         return STRAIN_LATE * min(c.aim_ms for c, v in zip(self.set.classes, values, strict=True) if v >= mine)
 
     def _saw_start(self, job: Job, delay: float) -> None:
-        """Note how late a job starts: what gateways see of a jam where workers tell starts.
-
-        Late is what would be late for the most pressing class of no less value: patient work
-        that fills the queues is what makes the others late.
-        """
+        """Note how late a job starts, by what would be late for the most pressing class of no less value."""
         if self.set.tells_start and not job.seen_start:
             job.seen_start = True
             late = delay > self._late_ms(job)
@@ -1021,10 +988,34 @@
         usual = exp(job.type.mean) * (job.hint if job.hint > 0 else 1.0)
         return max(QUIET_MIN_MS, QUIET_TIMES * usual)
 
+    def _free(self, a: Attempt) -> None:
+        """Its slots are counted no longer."""
+        if a.holds:
+            a.holds = False
+            a.worker.out -= a.job.slots
+            a.worker.memory_out -= a.job.memory
+            self._tell(a.worker)
+
+    def _usual_ms(self, job: Job, w: Worker) -> float:
+        """The usual response time of such a job there."""
+        t = job.type
+        slow = t.total / max(1, len(self.fleet.ready)) / (t.rates.get(w.id) or t.kind_rates[w.kind])
+        return exp(t.mean) * (job.hint if job.hint > 0 else 1.0) * slow
+
+    def _again(self, a: Attempt, now: float) -> None:
+        """An attempt that nothing is heard of: send its job elsewhere where that does no harm."""
+        if a.job.cls.effect == Effect.SAFE and now < a.job.aim_at:
+            if self.set.second_copies:
+                self._send(a.job, now)
+            else:
+                self._cancel(a)  # and its outcome sends the job
+
     def _check(self, a: Attempt, now: float) -> None:
         """An attempt is due for a look: does it wait, is its worker silent?"""
         job, w = a.job, a.worker
         if not a.open or job.over:
+            if not a.open and now >= a.until - 0.02:
+                self._free(a)
             return
         if self.set.tells_start and a.started_at < 0:
             # It waits in a queue.  That is no sign of illness: a queue may be long, and striking
@@ -1035,16 +1026,24 @@
                 a.waited = True
                 w.busy_until = now + BUSY_MS * (0.5 + self.rng.random())
                 self._saw_local(a, 1.0)
-            self._copy(job, now)
+            if a.sent_at < w.begun - OVERTAKEN_MS and self.reports.in_order:
+                self._free(a)  # later ones have started: its connection is silent, and it waits in no queue
+                self._again(a, now)
+            else:
+                self._copy(job, now)
         else:
             heard = a.noted_at if a.started_at >= 0 else max(a.noted_at, w.heard_at)
             patience = self._patience(a)
             if now - heard < patience * 0.98:
                 self._at(heard + patience, _ALARM_CHECK, a)
                 return
-            self._strike(w, now, "silent")
-            if job.cls.effect == Effect.SAFE and now < job.aim_at:
-                self._send(job, now)
+            if now - w.heard_at >= patience:
+                self._strike(w, now, "silent")
+            long = now - heard > AGAIN_TIMES * self._usual_ms(job, w)
+            if long:
+                self._free(a)  # its connection is silent, or the work is not worth its place
+            if long or self.set.second_copies:
+                self._again(a, now)
         if a.open and not job.over:
             self._at(now + self._patience(a), _ALARM_CHECK, a)
 
@@ -1076,6 +1075,7 @@
             return
         job, w = a.job, a.worker
         a.started_at = a.noted_at = now
+        w.begun = max(w.begun, a.sent_at)
         self._well(w, now)
         delay = now - a.sent_at
         i = 0 if a.local else 1
@@ -1184,9 +1184,13 @@
                 t.counts[w.id] -= 1
                 if not t.counts[w.id]:
                     del t.counts[w.id]
-        w.out -= job.slots
-        w.memory_out -= job.memory
-        self._tell(w)
+        if status in UNHEARD and a.holds:
+            # It may run on.  Guards against work that nobody waits for but that takes slots all the same.
+            usual = self._usual_ms(job, w)
+            a.until = now + max(REST_LEAST * usual, usual - (now - max(a.started_at, a.sent_at)))
+            self._at(a.until, _ALARM_CHECK, a)
+        else:
+            self._free(a)
         if report:
             self._take_report(now, w, report)
         self.full += ((status == Status.FULL) - self.full) * FULL_STEP
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -37,6 +37,33 @@
     assert world.b.fleet.workers[bad].struck_until > world.now
 
 
+def test_what_a_worker_may_go_on_with_is_counted_for_a_while_and_served_work_is_not() -> None:
+    world = World(workers=1)
+    w = world.b.fleet.workers[1]
+    world.serve(world.request())
+    assert w.out == 0
+    world.outcome(world.request(), 0, Status.CANCELLED)
+    assert w.out >= 1  # and the next attempt at the most
+    world.b.on_client_gone(world.now, 2)
+    world.wait(2_000.0)
+    assert w.out == 0
+
+
+def test_an_attempt_that_later_ones_overtook_waits_in_no_queue() -> None:
+    world = World(workers=2, tells_start=True, second_copies=False, classes=(SAFE, UNSAFE))
+    lost = world.request()
+    w = world.b.fleet.workers[world.worker_of(lost)]
+    world.wait(1_000.0)
+    laters = [world.request(1) for _ in range(4)]
+    later = next(r for r in laters if world.worker_of(r) == w.id)
+    world.b.on_started(world.now, later, 0)
+    before = w.out
+    world.wait(400.0)
+    assert (lost, 0) in world.did.cancelled and w.out == before - 1
+    world.outcome(lost, 0, Status.CANCELLED)
+    assert world.worker_of(lost) != w.id
+
+
 def test_a_silent_worker_is_ruled_out_and_its_safe_job_sent_elsewhere() -> None:
     world = World(workers=2, classes=(ClassSettings(aim_ms=3000.0, deadline_ms=5000.0),))
     for _ in range(300):
