Of a cold worker's slots only its present part counts as free

Checked: a trace of waits believed and seen, and of running times by worker. The longest ones, 2.2 to 2.9 s, are at workers just started. _slots took them for as free as warm ones; the token rule bounds the work sent, not how much of it runs at once. Ruled out: queues (waits were under 0.3 s then).

Now: _slots counts the capacity that a cold worker has by now at the least (_warmth, shared with the tokens), one slot or more.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -64,7 +64,6 @@
 LOOK_TTL_MS = 40.0  # ms; a look is of this moment; soon other gateways have sent there
 BUSY_MS = 400.0  # ms; how long a worker that let a job wait counts as busy
 WAITING_COPIES = 3  # copies that may wait at once: each takes a place in somebody's queue
-COLD_SPEND = 1.0  # times; a cold worker's part of what a warm one carries, for its present capacity
 COLD_LIGHT = 2.0  # mean jobs; a heavier job is not given to a cold worker
 WAIT_OK = 0.5  # share of the fixed part of the aim; a reported wait up to this is short
 RATE_MS = 8_000.0  # ms; over which this gateway measures what it gets served
@@ -288,9 +287,8 @@
             w.out_then = w.out
             w.memory_then = w.memory_out
             if self.slots >= 0:
-                # The most slots seen free on any worker of the kind, not free ones plus jobs held:
-                # behind a head that does not fit many jobs wait beside free slots, and would count
-                # as capacity.  One worker alone may never be seen empty under load.
+                # The most slots seen free on any worker of the kind, not free ones plus jobs held: behind a
+                # head that does not fit many wait beside free slots.  One alone may never be seen empty.
                 free = report[self.slots]
                 self.most_free[w.kind] = w.capacity = max(self.most_free.get(w.kind, 0.0), free)
                 if self.inflight >= 0 and report[self.inflight] < 0.5:
@@ -716,24 +714,23 @@
         return 2
 
     def _cold_allows(self, w: Worker, job: Job, now: float) -> bool:
-        """A cold worker gets no more than its present part of what a warm one carries, of each gateway.
-
-        The first token is drawn at random, so that gateways with little traffic do not come together.
-        """
-        s = self.set
-        age = now - w.ready_at
-        if age >= s.cold_ms:
+        """A cold worker gets its present part of what a warm one carries; the first token is drawn."""
+        if now - w.ready_at >= self.set.cold_ms:
             w.ready_at = -w.ready_at  # warm; the list names its start again, so it is kept
             self.warm += 1
             return True
-        share = s.cold_from + (1.0 - s.cold_from) * max(0.0, age) / s.cold_ms
         cost = job.cost / self.mean_cost
         if w.cold_at >= 0:
             rate = self._served_rate(now) / (self.warm or len(self.fleet.ready))
-            w.cold_tokens = min(1.0, w.cold_tokens + (now - w.cold_at) * rate * share * COLD_SPEND)
+            w.cold_tokens = min(1.0, w.cold_tokens + (now - w.cold_at) * rate * self._warmth(w, now))
         w.cold_at = now
         return w.cold_tokens >= min(cost, 1.0) and cost <= COLD_LIGHT
 
+    def _warmth(self, w: Worker, now: float) -> float:
+        """The present part of a cold worker's capacity, at the least."""
+        share = min(1.0, max(0.0, now - w.ready_at) / self.set.cold_ms)
+        return self.set.cold_from + (1.0 - self.set.cold_from) * share
+
     def _served_rate(self, now: float) -> float:
         """Mean jobs a ms that this gateway gets served by warm workers; it may send many times that."""
         known = 1.0 - exp((self.began - now - 1.0) / RATE_MS)  # of the time over which it is measured
@@ -757,7 +754,10 @@
         """The slots of a worker, where sums of the gateways' counts tell who is free; else 0."""
         if not self.tells or not self.peers.complete(now):
             return 0.0
-        return round(self.reports.idle_free.get(w.kind, 0.0))
+        slots = self.reports.idle_free.get(w.kind, 0.0)
+        if w.ready_at > 0.0:  # cold: as many as a warm one's would run at once, and all of them slowly
+            return min(1.0, slots) * max(1.0, round(slots * self._warmth(w, now)))
+        return round(slots)
 
     def _out(self, w: Worker) -> float:
         """The slots that all gateways have out at a worker."""
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -356,6 +356,17 @@
     assert b.did.probes == [1]  # it looks again
 
 
+def test_of_a_cold_workers_slots_only_its_present_part_counts() -> None:
+    """Jobs in all the slots of a worker at a third of its capacity take three times as long."""
+    a, _ = pair(entries=[entry(1), entry(2, ready_at=1_000.0)], cold_from=0.3, cold_ms=1_000.0)
+    cold = a.b.fleet.workers[2]
+    assert [a.b._slots(cold, 1_000.0 + age) for age in (0.0, 300.0, 600.0, 1_200.0)] == [1, 2, 3, 4]
+    job = a.b.jobs[a.request()]
+    cold.out = 1.0
+    assert a.b._available(cold, job, 2_200.0)
+    assert not a.b._available(cold, job, 1_000.0)
+
+
 def test_what_a_gateway_tells_late_or_garbled_is_dropped() -> None:
     a, b = pair(workers=1)
     a.request()
