A scheduler told to stop serves on while no other one does

Checked: a trace of picks. From 16.1 to 17.7 s nobody took requests: one scheduler was between SIGKILL and its next start, the other had got SIGTERM and closed its clients' connections after LINGER_S (Inbound.leave), though clients go on using the connections that they have. What came over a kept connection later than 0.7 s after SIGTERM ran with its whole time and could still be out at SIGKILL, which counts as lost. Ruled out: the module (no picks at all in that gap), reloads (none was near).

Now: schedulers send a beat of two bytes twice a second, which says whether they take new requests; one told to stop leaves at once where another one does, else it keeps its connections until a second before all must be answered. Late requests get no more time than that; a never-twice job with little of it left is refused with Retry-After before it begins.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -85,7 +85,8 @@
         counters.add("ready")
         await stop.wait()
         gearmen.leaving = True
-        await inbound.leave()
+        peers.leave()
+        await inbound.leave(peers.others_serve)
     finally:
         await inbound.close()
         await gearmen.close()
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -241,10 +241,10 @@
         self._box.put_nowait(lambda: self._take(job))
         return True
 
-    def refusal(self) -> Answer:
+    def refusal(self, return_ms: float = 1e9) -> Answer:
         """A refusal of the core's own, with a time to return where the settings allow one."""
-        return Answer(Ending.REFUSED,
-                      retry_after_ms=self.settings.max_retry_after_ms if self.settings.retry_after else 0.0)
+        return_ms = min(return_ms, self.settings.max_retry_after_ms)
+        return Answer(Ending.REFUSED, retry_after_ms=return_ms if self.settings.retry_after else 0.0)
 
     @property
     def open_jobs(self) -> int:
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -47,6 +47,14 @@
 TAIL_S = 1.0  # for the end of an answer whose result is in
 TRAVEL_MS = 5.0  # what a client's clock may be ahead of ours when its first byte is read
 LINGER_S = 0.45  # after SIGTERM new connections go on coming for so long
+# From SIGTERM to SIGKILL is at least the longest deadline, counted as LEAVE_MOST_MS where it is longer, and
+# LEAVE_MORE_MS; who asks later than that second time must have an answer by then.
+LEAVE_MOST_MS = 3000.0
+LEAVE_MORE_MS = 700.0
+LEAVE_SLACK_MS = 250.0  # an answer is out so long before
+LEAVE_LEAST_MS = 1000.0  # with less time left nothing new is begun
+LEAVE_AIMS = 1.5  # of a never-twice class's aim; with less time left its job had better not begin
+LEAVE_RETURN_MS = 500.0
 IDLE_LEAVING_S = 0.3  # a connection idle for so long then is closed; a newer one may hold a request
 REAP_S = 1.0
 
@@ -599,6 +607,8 @@
         self.visitors: dict[int, Visitor] = {}
         self.open_ids: set[str] = set()
         self.leaving = False
+        self.told_at = 1e18  # when SIGTERM came
+        self.ends_at = 1e18  # when all must be answered that was asked a while after it
         self.ready = False
         self._serial = 0
         self._listener: socket.socket | None = None
@@ -617,9 +627,19 @@
         listener.listen(BACKLOG)
         self._tasks.start(self._accept(listener))
 
-    async def leave(self) -> None:
-        """After SIGTERM: serve on while connections come, then end each after its answer."""
+    async def leave(self, others_serve: Callable[[], bool]) -> None:
+        """After SIGTERM: serve on while connections come, then end each after its answer.
+
+        Clients go on using the connections that they have.  Where no other scheduler takes requests, those
+        are all that the clients have: they are kept while a request may still be answered on them.
+        """
+        now = self.core.clock.now
+        longest = max(c.deadline_ms for c in self.core.settings.classes)
+        self.told_at = now()
+        self.ends_at = self.told_at + min(longest, LEAVE_MOST_MS) + LEAVE_MORE_MS - LEAVE_SLACK_MS
         await asyncio.sleep(LINGER_S)
+        while not others_serve() and now() < self.ends_at - LEAVE_LEAST_MS:
+            await asyncio.sleep(0.02)
         self.leaving = True
         while self.visitors or self.core.open_jobs:
             before = self.core.clock.now() - IDLE_LEAVING_S * 1000.0
@@ -788,7 +808,9 @@
             visitor.served = True
             self.open_ids.add(job.ident)
             try:
-                if not self.core.offer(job):
+                if not self._may_begin(job):
+                    future.set_result(self.core.refusal(LEAVE_RETURN_MS))
+                elif not self.core.offer(job):
                     future.set_result(self.core.refusal())
                 answer = await self._wait(job, future, http, visitor.reader)
             finally:
@@ -800,6 +822,14 @@
                 extra = [("Retry-After", f"{answer.retry_after_ms / 1000.0:.3f}")]
             await self._write(http, writer, _ANSWERS[answer.ending], answer.body, extra)
 
+    def _may_begin(self, job: Job) -> bool:
+        """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
+        if job.received_at > self.told_at + LEAVE_MORE_MS - LEAVE_SLACK_MS:
+            job.left_ms = min(job.left_ms, self.ends_at - job.received_at)
+            cls = self.core.settings.classes[job.class_index]
+            return cls.effect == Effect.SAFE or job.left_ms >= LEAVE_AIMS * cls.aim_ms
+        return True
+
     async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
                     reader: asyncio.StreamReader) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
--- a/gaphub/net/peers.py
+++ b/gaphub/net/peers.py
@@ -1,7 +1,8 @@
 """Owns the datagrams between schedulers: one socket, and an actor with a mailbox for each peer.
 
-It carries the Balancer's messages and the store's; it must never send more than 256 bytes in one
-datagram, never send where the settings do not allow it, and never trust what comes in.
+It carries the Balancer's messages and the store's, and beats that say who takes new requests; it must
+never send more than 256 bytes in one datagram, never send where the settings do not allow it, and never
+trust what comes in.
 """
 
 from __future__ import annotations
@@ -15,6 +16,9 @@
 
 MAILBOX = 64  # datagrams of one peer that wait; more are dropped, as the network may drop any
 NEWS = 4  # datagrams with changes for one peer in a round
+BEAT = 0xC2  # first of the two bytes of a beat; the second is 1 from one that takes new requests, else 0
+BEAT_S = 0.5
+BEAT_TTL_MS = 1_300.0  # ms; a peer without a beat for so long takes none
 
 
 class _Socket(asyncio.DatagramProtocol):
@@ -35,6 +39,7 @@
         self.number = number
         self.to = to
         self.owner = owner
+        self.serves_until = 0.0
         self.box: asyncio.Queue[bytes | None] = asyncio.Queue(MAILBOX)
 
     def put(self, data: bytes | None) -> None:
@@ -53,6 +58,11 @@
             try:
                 if data is None:
                     out = [*store.news(self.number, NEWS), store.digest()]
+                elif data[:1] == bytes([BEAT]):
+                    if len(data) != 2 or data[1] > 1:
+                        raise GarbledDatagramError("beat")
+                    out = []
+                    self.serves_until = now + BEAT_TTL_MS * data[1]
                 elif data.startswith(MAGIC):
                     out = store.receive(self.number, data, now)
                 else:
@@ -78,6 +88,7 @@
         self.round_s = config.fronts.store.round_s
         self.counters_s = config.fronts.store.counters_s
         self.allowed = config.settings.may_tell_peers
+        self.serving = True
         self.peers = {to: Peer(i, to, self) for i, to in enumerate(config.peers)
                       if i != config.settings.me}
         self._by_number = {p.number: p for p in self.peers.values()}
@@ -94,6 +105,7 @@
             self.store.follow(peer.number)
             self._tasks.start(peer.run())
         self._tasks.start(self._rounds())
+        self._tasks.start(self._beats())
 
     async def close(self) -> None:
         """Give back the socket and the actors."""
@@ -101,6 +113,24 @@
         if self._socket is not None:
             self._socket.close()
 
+    def leave(self) -> None:
+        """Say at once that new requests are to go elsewhere."""
+        self.serving = False
+        self._beat()
+
+    def others_serve(self) -> bool:
+        """Whether a peer is known to take new requests."""
+        return any(peer.serves_until > self.core.clock.now() for peer in self.peers.values())
+
+    def _beat(self) -> None:
+        if self._socket is not None:
+            self.tell(-1, bytes([BEAT, self.serving]))
+
+    async def _beats(self) -> None:
+        while True:
+            self._beat()
+            await asyncio.sleep(BEAT_S)
+
     async def _rounds(self) -> None:
         """Publish this daemon's counters now and then, and ring one peer a round, in turn."""
         published = -1e18
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -450,7 +450,8 @@
     play(BAD_CLIENTS[name])
 
 
-def test_leaving() -> None:
+def test_leaving(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "LEAVE_MOST_MS", 500.0)
     play("""
         c send job vyuctovani r1
         w expect r1
@@ -467,6 +468,31 @@
     """)
 
 
+# Guards against seconds without any scheduler, when one is being restarted and the next is told to stop.
+def test_where_nobody_else_serves_connections_are_served_on_and_all_is_answered_in_time(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "LEAVE_AIMS", 4.0)  # more than there is time, so that r3 had better not begin
+    play("""
+        c send job vyuctovani r1
+        w expect r1
+        w send lines r1 done=one .
+        c expect 200 .*one
+        term
+        wait 900
+        c send job poloha r2
+        w expect r2
+        w send lines r2 done=two .
+        c expect 200 .*two
+        c send job vyuctovani r3
+        c expect HTTP/1.1 503
+        c send job poloha r4
+        w expect r4
+        c expect HTTP/1.1 503
+        count calls.sent 3
+        ended
+    """)
+
+
 PROBES: dict[str, Any] = {
     "limits": {**SETTINGS["limits"], "probes": True},
     "report": {"fields": ["queue", "x0"], "via": "on_probe"},
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,9 @@
 import asyncio
 import socket
 
+import pytest
+
+from gaphub.net import http
 from gaphub.store import DATAGRAM
 
 from .scenario import SETTINGS, Cast, free_port
@@ -52,6 +55,24 @@
     asyncio.run(run())
 
 
+def test_one_that_is_told_to_stop_leaves_its_clients_to_a_peer_that_serves(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "LEAVE_MOST_MS", 3_600_000.0)
+
+    async def run() -> None:
+        a, b = pair()
+        async with a, b:
+            while not a.counters.values["peers.received"] or not b.counters.values["peers.received"]:
+                await asyncio.sleep(0.02)
+            await a.play("c send job poloha r1\nw expect r1\nw send lines r1 done=x .\nc expect 200")
+            await a.play("term\nc expect-close\nended")
+            # The other one has heard that: it is the last, and keeps its clients' connections.
+            await b.play("c send job poloha r1\nw expect r1\nw send lines r1 done=x .\nc expect 200\nterm")
+            await b.play("wait 900\nc send job poloha r2\nw expect r2\nw send lines r2 done=y .\nc expect y")
+
+    asyncio.run(run())
+
+
 def test_nothing_is_sent_where_the_settings_do_not_allow_it() -> None:
     async def run() -> None:
         a, b = pair(allowed=False)
