Keep a class away from a worker that fails it, though it serves others

Two workers failed it four times of seven and five of eight between 9 and 17 s and served poloha and udalost all the while, which took the share of errors down again before the next vyuctovani came. Ruled out: jobs that fail anywhere (the errors are those workers' alone).

Now: Worker.erred notes the last error by class; _usable keeps a never-twice job from a worker that failed its class in the last 8 s.

The test fails without it.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -44,7 +44,7 @@
 AGAIN_TIMES = 6.0  # usual response times without any sign: a repeatable job is called off and sent again
 OVERTAKEN_MS = 200.0  # ms; sent so much before one that has started, an attempt waits in no queue
 ERROR_STEP = 0.3  # share; how fast the view of a worker's errors moves with each of its answers
-ERRORS_SOME = 0.25  # share of errors, one just now, from which it gets only jobs that may be repeated
+ERRORS_SOME = 0.25  # share of errors from which it gets only jobs that may be repeated
 ERRORS_ILL = 0.5  # share of errors, two in a row, that is a failure: who fails at once looks free
 ERRORS_MS = 8_000.0  # ms; an error so long ago says nothing
 ERRORS_BAR = 2  # times; the longest bar for errors: a trial with a repeatable job costs little
@@ -101,8 +101,7 @@
 LOG_LINES = 12  # lines in all; an instance tells of rare changes only
 
 _ALARM_CHECK, _ALARM_END, _ALARM_LIST, _ALARM_LOOK, _ALARM_START, _ALARM_TELL = range(6)
-# What a gateway tells: the format, what it is, its number in a row (2 bytes), and then workers (4 bytes
-# each) with the slots of its attempts there (1 byte).
+# A gateway tells the format, what it is, its number in a row (2 bytes); workers (4 bytes each), slots (1).
 _HEAD, _COUNT, _FORMAT = 4, 5, 0xC1
 # Some counts, all of them, all and a wish to be told all; and the slots of each kind of worker.
 _CHANGE, _ALL, _HELLO, _SLOTS = range(4)
@@ -231,7 +230,7 @@
     __slots__ = ("id", "kind", "zone", "cell", "able", "state", "ready_at", "out", "report", "report_at",
                  "report_new_at", "out_then", "memory_out", "memory_then", "capacity", "full_until",
                  "full_slots", "full_times", "busy_until", "heard_at", "strikes", "struck_until",
-                 "trial", "cold_tokens", "cold_at", "resets", "begun", "errors", "erred_at")
+                 "trial", "cold_tokens", "cold_at", "resets", "begun", "errors", "erred")
 
     def __init__(self, entry: ListedWorker) -> None:
         self.id, self.kind, self.able = entry.worker, entry.kind, entry.able
@@ -249,10 +248,10 @@
         self.full_until = self.busy_until = self.heard_at = -1e18
         self.begun = -1e18  # when the last of the attempts that have started was sent
         self.full_slots = 0.0
-        self.full_times = 0
-        self.strikes = self.resets = 0
-        self.struck_until = self.erred_at = -1e18
+        self.full_times = self.strikes = self.resets = 0
+        self.struck_until = -1e18
         self.errors = 0.0  # the share of its answers that are errors, the last ones above all
+        self.erred: dict[int, float] = {}  # class, -1 for any: its last error; some fail one class alone
         self.trial = False
         self.cold_tokens = first_token
         self.cold_at = -1.0
@@ -709,7 +708,8 @@
             return 0
         if w.struck_until > now or (w.trial and w.out > 0):
             return 1
-        if w.errors >= ERRORS_SOME and job.cls.effect != Effect.SAFE and now - w.erred_at < ERRORS_MS:
+        which = job.index if w.errors < ERRORS_SOME else -1
+        if job.cls.effect != Effect.SAFE and now - w.erred.get(which, -1e18) < ERRORS_MS:
             return 1
         return 2
 
@@ -1147,7 +1147,7 @@
         w.heard_at = now
         w.resets = 0
         self._saw_zone(w, False)
-        if w.strikes and (w.errors < ERRORS_ILL or now - w.erred_at >= ERRORS_MS):
+        if w.strikes and (w.errors < ERRORS_ILL or now - w.erred.get(-1, -1e18) >= ERRORS_MS):
             w.strikes = 0
             w.trial = False
             w.struck_until = -1e18
@@ -1212,7 +1212,7 @@
             w.full_times += 1
             self._saw_start(job, 1e18)
         elif status == Status.ERROR:
-            w.erred_at = w.heard_at = now
+            w.erred[job.index] = w.erred[-1] = w.heard_at = now
             w.errors += (1.0 - w.errors) * ERROR_STEP
             if w.errors >= ERRORS_ILL:
                 self._strike(w, now, "errors", ERRORS_BAR)
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -81,6 +81,18 @@
     assert bad in {world.worker_of(r) for r in some}
 
 
+def test_a_class_that_fails_at_a_worker_stays_away_though_others_are_served_there() -> None:
+    world = World(workers=2, classes=(SAFE, UNSAFE, UNSAFE))
+    r = world.request(2)
+    bad = world.worker_of(r)
+    world.outcome(r, 0, Status.ERROR, 15.0)
+    for r in [world.request() for _ in range(10)]:
+        world.serve(r)
+    assert world.b.fleet.workers[bad].errors < 0.1
+    assert bad not in {world.worker_of(r) for r in [world.request(2) for _ in range(10)]}
+    assert bad in {world.worker_of(r) for r in [world.request(1) for _ in range(10)]}
+
+
 def test_what_a_worker_may_go_on_with_is_counted_for_a_while_and_served_work_is_not() -> None:
     world = World(workers=1)
     w = world.b.fleet.workers[1]
