A worker that failed a class is not available to it, no more than that

Now: the class's last error makes the worker unavailable (_available) as 'full' would: jobs go there when nobody else is free. Only a worker whose answers are errors to a quarter or more is the last resort.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -325,8 +325,7 @@
 class Peers:
     """What the other gateways have out at each worker, as they tell.
 
-    Reports tell of a moment up to two seconds ago, and of it late; counts cross in milliseconds.  Sums of
-    them say who is free now.  A message holds counts, not changes, so a lost one is mended by the next.
+    Reports are seconds old, counts milliseconds.  A message holds counts, not changes: the next mends a loss.
     """
 
     __slots__ = ("others", "counts", "heard", "last")
@@ -477,11 +476,9 @@
         self.ran_group: Worker | None = None  # the first worker where it may have run
         self.ran_since = 0.0
         self.over_share = False
-        self.seen_start = False
+        self.seen_start = self.started = False
         self.looked: list[Worker] = []  # the workers probed for it
-        self.looks_out = 0
-        self.rounds = 0
-        self.started = False
+        self.looks_out = self.rounds = 0
 
 
 class Balancer:
@@ -708,8 +705,7 @@
             return 0
         if w.struck_until > now or (w.trial and w.out > 0):
             return 1
-        which = job.index if w.errors < ERRORS_SOME else -1
-        if job.cls.effect != Effect.SAFE and now - w.erred.get(which, -1e18) < ERRORS_MS:
+        if w.errors >= ERRORS_SOME and self._fails(w, job, -1, now):
             return 1
         return 2
 
@@ -736,8 +732,15 @@
         known = 1.0 - exp((self.began - now - 1.0) / RATE_MS)  # of the time over which it is measured
         return self.served_cost * exp((self.served_at - now) / RATE_MS) / (RATE_MS * known)
 
+    @staticmethod
+    def _fails(w: Worker, job: Job, index: int, now: float) -> bool:
+        """Whether a class, or any (-1), failed there so lately that it is no place for a never-twice job."""
+        return job.cls.effect != Effect.SAFE and now - w.erred.get(index, -1e18) < ERRORS_MS
+
     def _available(self, w: Worker, job: Job, now: float) -> bool:
         """Reports tell, else the last 'full' for this size, else a job that had to wait there."""
+        if self._fails(w, job, job.index, now):
+            return False
         slots = self._slots(w, now)
         if slots > 0.0:
             return self._out(w) + job.slots <= slots
@@ -973,8 +976,7 @@
     def _patience(self, a: Attempt) -> float:
         """How long to wait for the next sign of an attempt before looking at it."""
         if self.set.tells_start and a.started_at < 0:
-            # Long jobs have long slack and are dear where a cancel stops nothing: they queue up
-            # elsewhere later than short ones, and seldom need to.
+            # Long jobs have long slack: they queue up elsewhere later than short ones, and seldom need to.
             slack = a.job.cls.aim_ms + max(0.0, a.job.cls.aim_stretch - 1.0) * a.job.hint
             usual = START_SLACK * self.start_ms[0 if a.local else 1] + self.set.tick_ms
             return max(usual, COPY_SLACK * slack)
@@ -1014,8 +1016,7 @@
                 self._free(a)
             return
         if self.set.tells_start and a.started_at < 0:
-            # It waits in a queue.  That is no sign of illness: a queue may be long, and striking
-            # busy workers would send their jobs again and again into a jam.
+            # It waits in a queue, which is no sign of illness: striking busy workers would feed a jam.
             if now - job.arrived > self._late_ms(job):
                 self._saw_start(job, now - job.arrived)
             if not a.waited:
@@ -1055,8 +1056,7 @@
                 if a.started_at >= 0:
                     return
                 waiting += 1
-        # Queues overflow where a cancel stops nothing: called-off copies stay in them.  Nothing else
-        # tells, so copies go as 'full' comes.
+        # Where a cancel stops nothing called-off copies stay in queues, which overflow: go by 'full' answers.
         if waiting <= WAITING_COPIES * (1.0 - self.full / COPY_FULL):
             self._send(job, now)
 
