Believe a worker that says full, whatever the counts say

Checked: a trace of outcomes. Draining workers, which the silent list still names, answer 'full' after 5 to 8 ms, to each gateway up to eight times a second; jobs spend their four attempts on them. _available returned what the counts say before it looked at full_until, so the bar after 'full' had no effect where gateways tell their counts. Ruled out: full queues (nothing of ours was out there).

Now: _usable ranks such a worker behind all others while its bar lasts.

The test fails without it.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -702,11 +702,11 @@
         """0: must not be used; 1: health speaks against it; 2: may be used."""
         if w.ready_at > 0.0 and not self._cold_allows(w, job, now):
             return 0
-        if w.struck_until > now or (w.trial and w.out > 0):
-            return 1
-        if w.errors >= ERRORS_SOME and self._fails(w, job, -1, now):
-            return 1
-        return 2
+        ill = w.struck_until > now or (w.trial and w.out > 0) or (
+            w.errors >= ERRORS_SOME and self._fails(w, job, -1, now))
+        # It said 'full' where counts say free: it drains, and the list is late.
+        full = w.full_until > now and job.slots >= w.full_slots and self._slots(w, now) > 0.0
+        return 1 if ill or full else 2
 
     def _cold_allows(self, w: Worker, job: Job, now: float) -> bool:
         """A cold worker gets its present part of what a warm one carries; the first token is drawn."""
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -356,6 +356,18 @@
     assert b.did.probes == [1]  # it looks again
 
 
+def test_who_says_full_is_left_alone_for_a_while_though_counts_say_that_it_is_free() -> None:
+    """A worker that drains says so at once, the list seconds later; it was asked eight times a second."""
+    a, _ = pair(workers=2)
+    r = a.request(slots=1.0)
+    drains = a.worker_of(r)
+    a.outcome(r, 0, Status.FULL, 5.0)
+    assert a.worker_of(r) != drains
+    assert drains not in {a.worker_of(a.request(slots=1.0)) for _ in range(6)}  # more than the other's slots
+    a.wait(300.0)
+    assert drains in {a.worker_of(a.request(slots=1.0)) for _ in range(3)}
+
+
 def test_of_a_cold_workers_slots_only_its_present_part_counts() -> None:
     """Jobs in all the slots of a worker at a third of its capacity take three times as long."""
     a, _ = pair(entries=[entry(1), entry(2, ready_at=1_000.0)], cold_from=0.3, cold_ms=1_000.0)
