The bar after 'full' doubles up to four times only

Where few workers are left the bar (up to 16 times 150 ms, jittered: 3.6 s) outlasts the second or two that a worker needs to come back under its name, which a silent list does not tell.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -37,7 +37,7 @@
 DRAWS = 4  # draws for each worker to rank: bounds the work where few can be used
 REPORT_TTL_MS = 2_500.0  # ms; an older report describes another moment and counts as none
 FULL_STEP = 0.03  # share; how fast the view of how often 'full' comes moves with each attempt
-FULL_BAR_MS = 150.0  # ms; the first bar after 'full', about one short job; doubles up to 16 times
+FULL_BAR_MS = 150.0  # ms; the first bar after 'full', about one short job; doubles up to 4 times
 STRIKE_MS = 1_000.0  # ms; the first bar of a worker that failed to connect or fell silent; doubles
 UNHEARD = frozenset((Status.TIMEOUT, Status.RESET, Status.CANCELLED))  # what the worker may go on with
 REST_LEAST = 0.3  # of a usual response time; how long such an attempt is still counted at the least
@@ -1209,7 +1209,7 @@
         elif status == Status.FULL:
             w.heard_at = now
             w.full_slots = min(w.full_slots, job.slots) if w.full_until > now else job.slots
-            w.full_until = now + FULL_BAR_MS * (1 << min(w.full_times, 4)) * (0.5 + self.rng.random())
+            w.full_until = now + FULL_BAR_MS * (1 << min(w.full_times, 2)) * (0.5 + self.rng.random())
             w.full_times += 1
             self._saw_start(job, 1e18)
         elif status == Status.ERROR:
