--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -366,7 +366,7 @@
     assert drains not in {a.worker_of(a.request(slots=1.0)) for _ in range(6)}  # more than the other's slots
     a.wait(300.0)
     again = next(r for r in [a.request(slots=1.0) for _ in range(3)] if a.worker_of(r) == drains)
-    a.b.fleet.workers[drains].full_times = 9  # however often it says so, it is asked again soon: it may be back
+    a.b.fleet.workers[drains].full_times = 9  # it may be back soon, however often it said so
     a.outcome(again, 0, Status.FULL, 5.0)
     assert a.now < a.b.fleet.workers[drains].full_until <= a.now + 900.0
 
