--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -230,7 +230,7 @@
     __slots__ = ("id", "kind", "zone", "cell", "able", "state", "ready_at", "out", "report", "report_at",
                  "report_new_at", "out_then", "memory_out", "memory_then", "capacity", "full_until",
                  "full_slots", "full_times", "busy_until", "heard_at", "strikes", "struck_until",
-                 "trial", "cold_tokens", "cold_at", "resets", "begun", "done", "errors", "erred")
+                 "trial", "cold_tokens", "cold_at", "resets", "begun", "errors", "erred")
 
     def __init__(self, entry: ListedWorker) -> None:
         self.id, self.kind, self.able = entry.worker, entry.kind, entry.able
@@ -246,7 +246,7 @@
         self.report_at = self.report_new_at = -1e18
         self.out_then = self.memory_then = 0.0
         self.full_until = self.busy_until = self.heard_at = -1e18
-        self.begun = self.done = -1e18  # when the last attempt that has started, been served was sent
+        self.begun = -1e18  # when the last of the attempts that have started was sent
         self.full_slots = 0.0
         self.full_times = self.strikes = self.resets = 0
         self.struck_until = -1e18
@@ -1033,8 +1033,7 @@
             if now - heard < patience * 0.98:
                 self._at(heard + patience, _ALARM_CHECK, a)
                 return
-            # Not where later ones were served: a connection is silent.  Not in a jam: all are slow.
-            if a.sent_at >= w.done and self.strain < SHED_FROM / 2:
+            if now - w.heard_at >= patience:
                 self._strike(w, now, "silent")
             long = now - heard > AGAIN_TIMES * self._usual_ms(job, w)
             if long:
@@ -1192,7 +1191,6 @@
         self.full += ((status == Status.FULL) - self.full) * FULL_STEP
         if status == Status.OK:
             w.errors -= w.errors * ERROR_STEP
-            w.done = max(w.done, a.sent_at)
             self._well(w, now)
             w.full_times = 0
             if w.ready_at <= 0.0:
