--- a/gaphub/announce/bgp.py
+++ b/gaphub/announce/bgp.py
@@ -107,8 +107,10 @@
 
 def open_(asn: int, hold_s: int, router_id: str) -> bytes:
     """An OPEN with the capabilities IPv4 unicast and 4-octet AS numbers."""
-    capabilities = struct.pack(">BBHBB", MULTIPROTOCOL, 4, 1, 0, 1) + struct.pack(">BBI", FOUR_OCTET_AS, 4, asn)
-    parameter = struct.pack(">BB", CAPABILITY_PARAMETER, len(capabilities)) + capabilities
+    # Each capability in a parameter of its own: readers that take only the first of several exist.
+    parameter = b"".join(
+        struct.pack(">BB", CAPABILITY_PARAMETER, len(c)) + c
+        for c in (struct.pack(">BBHBB", MULTIPROTOCOL, 4, 1, 0, 1), struct.pack(">BBI", FOUR_OCTET_AS, 4, asn)))
     two = asn if asn < 65536 else AS_TRANS
     return _message(Type.OPEN, struct.pack(">BHH4sB", VERSION, two, hold_s, _ip(router_id), len(parameter))
                     + parameter)
--- a/gaphub/cli.py
+++ b/gaphub/cli.py
@@ -68,17 +68,15 @@
     faults = []
     for section, body in whole.items():
         try:
-            if section in ("address", "cluster", "gearman"):
-                front = msgspec.convert({section: body}, config.Fronts)
-                names = classes.split(",") if classes else list(front.gearman.functions.values())
-                if section == "gearman":
-                    config.read_fronts(msgspec.toml.encode({section: body}).decode(), names)
-                getattr(front, section).check() if section != "gearman" else None
-                faults += _key_fault(front.cluster) if section == "cluster" else []
+            front = msgspec.convert({section: body}, config.Fronts)
+            if section == "address":
+                front.address.check()  # alone it lacks the cluster, which is looked at below
             else:
-                config.read_fronts(msgspec.toml.encode({section: body}).decode(), [])
+                names = classes.split(",") if classes else list(front.gearman.functions.values())
+                config.check_fronts(front, names)
+            faults += _key_fault(front.cluster)
         except (config.ConfigError, msgspec.ValidationError) as error:
-            faults.append(str(error).removeprefix("LB_FRONTS: "))
+            faults.append(str(error))
     if "address" in whole and "cluster" not in whole and whole["address"].get("service"):
         faults.append("address.service: needs cluster.listen: only a holder announces it")
     return faults
--- a/gaphub/cluster/election.py
+++ b/gaphub/cluster/election.py
@@ -95,6 +95,7 @@
         self.hello_at = now
         self.granted: deque[float] = deque()
         self.refused_jumps = 0
+        self.met = False  # whether its abstention is over and the others were heard
 
     # -- what the host asks --
 
@@ -151,6 +152,9 @@
             self.hello_at = now + self.rules.hello_ms
             self._all(Kind.HELLO)
         self._remember(now)
+        if not self.met and self.may_vote(now):
+            self.met = True  # only now it knows who comes before it
+            self.stand_at = now + self._delay(now)
         if (self.role is Role.FOLLOWER and self.mine.stands and self.ready and now >= self.stand_at
                 and not self._promised(now) and self.may_vote(now)):
             self._ask(now)
@@ -443,9 +447,12 @@
         self.stand_at = now + self.rules.ballot_ms * 0.5 + self._delay(now)
 
     def _say(self, to: int, kind: Kind, term: int | None = None, round_: int = 0) -> None:
-        self.out.append((to, Message(kind, self.term if term is None else term, round_, self.ready,
-                                     self.amnesic or self.me not in self.voters, self.mine.priority,
-                                     self.holder)))
+        self.out.append((to, self.greeting()._replace(kind=kind, term=self.term if term is None else term,
+                                                      round=round_)))
+
+    def greeting(self) -> Message:
+        """A sign of life.  ``amnesic`` also while it abstains: it would be no good successor."""
+        return Message(Kind.HELLO, self.term, 0, self.ready, not self.met, self.mine.priority, self.holder)
 
     def _all(self, kind: Kind, term: int | None = None, round_: int = 0) -> None:
         for i in self.others:
@@ -460,4 +467,4 @@
                 tuple((p.heard_at, p.ready, p.amnesic, p.term) for p in self.peers.values()), self.stand_at,
                 self.round, self.asked_at, frozenset(self.grants),
                 tuple((r, at, frozenset(a)) for r, (at, a) in self.rounds.items()), self.lease_until,
-                self.held_since, self.released, self.renew_at, self.hello_at, tuple(self.granted))
+                self.held_since, self.released, self.renew_at, self.hello_at, self.met, tuple(self.granted))
--- a/gaphub/cluster/node.py
+++ b/gaphub/cluster/node.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..config import Address, ClusterFront, address
+from ..config import Address, ClusterFront, ConfigError, address
 from ..core import Tasks
 from ..metrics import Counters
 from .detector import Detector
@@ -21,7 +21,7 @@
 from .envelope import SIZE, Link
 from .keyring import KeyRing, KeyRingError, read
 from .memory import MemoryFile
-from .types import Kind, Member, Message, Move, Rules
+from .types import Member, Message, Move, Rules
 
 MAILBOX = 256  # datagrams that wait; more are dropped, as the network may drop any
 IDLE_S = 1.0
@@ -86,7 +86,11 @@
     # -- life --
 
     async def open(self) -> None:
-        """Listen and start the actor."""
+        """Listen and start the actor; the vote's file is written once, so that a bad path shows at the start."""
+        try:
+            await asyncio.to_thread(self.memory.write, self._saved)
+        except OSError as error:
+            raise ConfigError(f"cluster.state: {self.front.state}: {error.strerror}") from None
         loop = asyncio.get_running_loop()
         self._socket, _ = await loop.create_datagram_endpoint(
             lambda: _Socket(self), local_addr=address(self.front.listen, "cluster.listen"))
@@ -193,19 +197,14 @@
                 self.counters.log(f"cluster.ignored.{opened}", f"{len(data)} bytes")
             return
         if opened.message is None:
-            self._send(opened.sender, self._hello(), opened.life)
+            self._send(opened.sender, self.election.greeting(), opened.life)
             return
         if opened.reborn:
-            self._send(opened.sender, self._hello())
+            self._send(opened.sender, self.election.greeting())
         now = self.clock()
         self.detectors[opened.sender].heard(now)
         self.election.receive(now, opened.sender, opened.message)
 
-    def _hello(self) -> Message:
-        machine = self.election
-        return Message(Kind.HELLO, machine.term, 0, machine.ready, machine.amnesic or
-                       machine.me not in machine.voters, machine.mine.priority, machine.holder)
-
     async def _flush(self) -> None:
         """Tell of moves, write down what must not be forgotten, then send what was said."""
         machine = self.election
--- a/gaphub/cluster/types.py
+++ b/gaphub/cluster/types.py
@@ -38,7 +38,7 @@
     term: int
     round: int = 0
     ready: bool = False
-    amnesic: bool = False  # it restarted without a memory and may not vote yet
+    amnesic: bool = False  # it may not vote (yet): it abstains, recovers its memory, or is no voter
     priority: int = 0
     holder: int = 0  # whom it believes to hold; 0: nobody
 
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -403,7 +403,11 @@
 
 def read_fronts(text: str, classes: list[str]) -> Fronts:
     """The file ``deploy/fronts.toml``, checked."""
-    fronts = _decode(text.encode(), Fronts, "LB_FRONTS", toml=True)
+    return check_fronts(_decode(text.encode(), Fronts, "LB_FRONTS", toml=True), classes)
+
+
+def check_fronts(fronts: Fronts, classes: list[str]) -> Fronts:
+    """What types cannot say of the sections; ConfigError names the first faulty key."""
     for name, cls in fronts.gearman.functions.items():
         if cls not in classes and fronts.gearman.listen:
             raise ConfigError(f"gearman.functions.{name}: {cls!r} is none of {', '.join(classes)}")
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -489,6 +489,8 @@
         job = self._jobs.get(request)
         if job is not None:
             ending = Ending.REFUSED if self._harmless(job) else Ending.FAILED
+            if job.fence is not None and not job.fence.holds():
+                retry_after_ms = job.fence.return_ms
             self._answer(job, Answer(ending, retry_after_ms=retry_after_ms))
             self._settle(job)
 
--- a/gaphub/lab/clients.py
+++ b/gaphub/lab/clients.py
@@ -117,9 +117,10 @@
                 f"\r\nX-Timeout: 5000m\r\nContent-Length: 8\r\n\r\n").encode() + b"12345678"
         ending, wait = 0, 0.0
         writer: asyncio.StreamWriter | None = None
+        kept = False
         try:
             async with asyncio.timeout(5.0):
-                reader, writer = await self._connection()
+                kept, reader, writer = await self._connection()
                 writer.write(head)
                 first, headers = await read_head(reader)
                 body = await reader.readexactly(int(headers["content-length"]))
@@ -134,9 +135,15 @@
         finally:
             if writer is not None:
                 writer.transport.abort()
+        if kept and not ending:
+            # A kept connection that ends under a request is no news of the service: all of them may be as
+            # old, so the next try, a request of its own, takes a new one at once.
+            wait = 0.001
+            while self._idle:
+                self._idle.pop()[1].transport.abort()
         return Row(began, job.cls, ident, ending, time.monotonic() - began, job.number, wait)
 
-    async def _connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def _connection(self) -> tuple[bool, asyncio.StreamReader, asyncio.StreamWriter]:
         while self._idle:
             reader, writer = self._idle.pop()
             if not reader.at_eof() and not writer.transport.is_closing():
@@ -144,5 +151,5 @@
                     self.surplus += 1
                     writer.transport.abort()
                     continue
-                return reader, writer
-        return await asyncio.open_connection(*self.to)
+                return True, reader, writer
+        return False, *await asyncio.open_connection(*self.to)
