--- a/gaphub/lab/commands.py
+++ b/gaphub/lab/commands.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -15,6 +17,7 @@
 from ..cluster import explore as explorer
 from . import failover as experiment
 from .clients import WORTH, Clients
+from .idle import measure
 from .site import Site
 
 console = Console(highlight=False)
@@ -86,6 +89,25 @@
         raise SystemExit(1)
 
 
+@click.command()
+@click.option("--runs", default=7, show_default=True)
+@click.option("--beside", multiple=True, type=click.Path(exists=True), help="Another checkout, to compare with.")
+def idle(runs: int, beside: tuple[str, ...]) -> None:
+    """What the platform pays: ms until ready and MB resident of an idle daemon, as medians."""
+    here = Path(__file__).resolve().parent.parent.parent
+    for tree, (ms, mb) in measure([here, *(Path(b).resolve() for b in beside)], sys.executable, runs,
+                                  free_port()).items():
+        console.print(f"{tree}: ready after {ms:.0f} ms, {mb:.1f} MB resident, {runs} runs")
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on."""
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        port: int = s.getsockname()[1]
+        return port
+
+
 async def _table(site: Site, clients: Clients, since: float) -> Table:
     rows = [r for r in clients.rows if r.sent > time.monotonic() - 2.0]
     table = Table(title=f"site on {site.net}.0, {time.monotonic() - since:.0f} s")
