Gearman jobs wait in queues before the core: order, turns, ageing, bounds, expiry

Change: gaphub/gearman/queues.py, pure: a lane for each class and priority, clients take turns, every eighth draw goes to the oldest, bounds by function, client, number and bytes, expiry at the client's deadline or after a background job's life. The front draws four jobs a worker into the core. maxqueue by priority, prioritystatus, a default class for functions without an entry, WORK_EXCEPTION that ends a job without WORK_FAIL, jobs that wait are refused when the daemon leaves or loses the lease. The Balancer is told the whole deadline of a drawn job with time left: it took queued jobs for late retries and turned 167 of 1,000 away.

Measured: 1,000 of 1,000 submits served by one worker (tests/test_queues.py).

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -92,6 +92,7 @@
 
         address = ServiceAddress(config, core, counters)
         address.took_over = gearmen.took_over
+        address.gave_up = gearmen.refuse_waiting if config.fronts.address.gearman else address.gave_up
         gearmen.fence = address.fence if config.fronts.address.gearman else None
         if config.fronts.address.service:
             # The clients' part of the sockets is shared by the two listeners.
@@ -122,7 +123,7 @@
         if address is not None:
             address.node.set_ready(True)
         await stop.wait()
-        gearmen.leaving = True
+        gearmen.leave()
         peers.leave()
         leaves = [inbound.leave(peers.others_serve)]
         if address is not None:
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -213,6 +213,13 @@
     hold_after_start: bool = True  # after a start refuse never-twice jobs with a unique for keep_s
     ends_most: int = 50_000
     ends_bytes: int = 16_000_000
+    default_class: str = ""  # of functions without an entry; empty: they are refused
+    background_s: float = 3600.0  # how long a background job may wait
+    per_worker: int = 4  # jobs that are out for each worker that can run them; more wait before the core
+    queue_most: int = 200_000  # jobs that wait, in all
+    queue_function_most: int = 200_000  # of one function
+    queue_client_most: int = 100_000  # of one client's session
+    queue_bytes: int = 128_000_000  # of their workloads, names and records
 
 
 class StoreFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -411,11 +418,20 @@
     for name, cls in fronts.gearman.functions.items():
         if cls not in classes and fronts.gearman.listen:
             raise ConfigError(f"gearman.functions.{name}: {cls!r} is none of {', '.join(classes)}")
+    if fronts.gearman.default_class and fronts.gearman.listen and fronts.gearman.default_class not in classes:
+        raise ConfigError(f"gearman.default_class: {fronts.gearman.default_class!r} is none of "
+                          f"{', '.join(classes)}")
     fronts.gearman_at()
     for key, value in (("gearman.keep_s", fronts.gearman.keep_s), ("store.round_s", fronts.store.round_s),
                        ("store.counters_s", fronts.store.counters_s),
                        ("store.entries_most", fronts.store.entries_most),
                        ("gearman.ends_most", fronts.gearman.ends_most),
+                       ("gearman.background_s", fronts.gearman.background_s),
+                       ("gearman.per_worker", fronts.gearman.per_worker),
+                       ("gearman.queue_most", fronts.gearman.queue_most),
+                       ("gearman.queue_function_most", fronts.gearman.queue_function_most),
+                       ("gearman.queue_client_most", fronts.gearman.queue_client_most),
+                       ("gearman.queue_bytes", fronts.gearman.queue_bytes),
                        ("gearman.ends_bytes", fronts.gearman.ends_bytes)):
         if not value > 0:
             raise ConfigError(f"{key}: must be above 0")
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -119,6 +119,7 @@
     is_retry: bool = False
     news: Callable[[str, tuple[bytes, ...]], None] | None = None  # what its front wants to hear meanwhile
     front: object = None  # the front's own record of it
+    told_ms: float = 0.0  # what the Balancer is told is left; 0: what is left
     fence: Fence | None = None  # what must hold while it is taken and sent; None: nothing
     number: int = 0
     ends: float = 0.0
@@ -235,6 +236,7 @@
         self._jobs: dict[int, Job] = {}
         self._numbers: dict[tuple[str, str], int] = {}
         self._destinations: dict[int, Destination] = {}
+        self._able: dict[int, int] = {}  # what ``able`` counted, until the destinations change
         self.balancer = Balancer(clock.now(), settings, seed, self)
 
     # -- the mailbox --
@@ -245,12 +247,25 @@
 
     def offer(self, job: Job) -> bool:
         """Hand a request over; False if the mailbox or the request table is full (fail-fast)."""
-        if len(self._jobs) >= self.settings.max_open or self._box.full():
+        if not self.may_take():
             self.counters.add("requests.fail_fast")
             return False
         self._box.put_nowait(lambda: self._take(job))
         return True
 
+    def may_take(self) -> bool:
+        """Whether ``offer`` would take a request now."""
+        return len(self._jobs) < self.settings.max_open and not self._box.full()
+
+    def able(self, class_index: int) -> int:
+        """How many destinations may get jobs of a class now."""
+        known = self._able.get(class_index)
+        if known is None:
+            known = self._able[class_index] = sum(
+                d.listed.state == WorkerState.READY and bool(d.listed.able >> class_index & 1)
+                for d in self._destinations.values())
+        return known
+
     def refusal(self, return_ms: float = 1e9) -> Answer:
         """A refusal of the core's own, with a time to return where the settings allow one."""
         return_ms = min(return_ms, self.settings.max_retry_after_ms)
@@ -331,7 +346,7 @@
             self._fence_off(job)
             return
         heappush(self._deadlines, (job.ends - EARLY_MS, job.number))
-        request = Request(job.number, job.class_index, job.ends - now, 0, job.key, 0.0, job.slots,
+        request = Request(job.number, job.class_index, job.told_ms or job.ends - now, 0, job.key, 0.0, job.slots,
                           job.memory, job.is_retry)
         if not self._guard(lambda: self.balancer.on_request(now, request)) and not job.open_calls:
             self._give_up(job)
@@ -564,6 +579,7 @@
 
     def listed(self, source: str, kind: int, entries: Sequence[Listed]) -> None:
         """A source named destinations; FULL and CACHED name all of that source's."""
+        self._able.clear()
         named = {e.name for e in entries}
         known = {name for s, name in self._numbers if s == source}
         changes = list(entries)
--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -15,7 +15,7 @@
 import re
 import struct
 import zlib
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -25,6 +25,7 @@
 from .. import __version__
 from ..config import Config
 from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome
+from ..gearman.queues import Bounds, Queues, Waiting
 from ..interface import Effect, ListKind, Status, WorkerState
 from ..metrics import Counters
 from ..store import Store
@@ -38,6 +39,9 @@
 QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
 DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
 TICK_S = 0.5
+EXPIRE_EARLY_MS = 5.0  # a job that waits is answered so long before its client's deadline
+TIME_AIMS = 3.0  # a drawn job with more of its class's aims left is no late one
+EXCEPTED_MOST = 64  # handles of a session whose WORK_FAIL may still follow a WORK_EXCEPTION
 DRAIN_S = 30.0  # for a peer to take what it is sent
 
 (CAN_DO, CANT_DO, RESET_ABILITIES, PRE_SLEEP, _UNUSED, NOOP, SUBMIT_JOB, JOB_CREATED, GRAB_JOB, NO_JOB,
@@ -86,6 +90,7 @@
     background: bool
     listeners: list[Session] = field(default_factory=list)
     job: Job | None = None
+    waiting: Waiting | None = None  # before the core; None once it was offered
     running: bool = False
     progress: tuple[bytes, bytes] = (b"0", b"0")
 
@@ -107,6 +112,7 @@
     call: Call | None  # None: called off; the worker works on, and nobody waits
     until: float  # by the worker's own CAN_DO_TIMEOUT
     parts: bytearray = field(default_factory=bytearray)
+    excepted: bool = False  # the worker said WORK_EXCEPTION, and nothing yet that ends the job
 
 
 class Session:
@@ -125,6 +131,7 @@
         self.told: tuple[int, int] | None = None  # what the core knows: state and abilities
         self.queue: list[tuple[int, int, bytes, Call]] = []  # heap: priority, order, handle
         self.assigned: dict[bytes, Assigned] = {}
+        self.excepted: OrderedDict[bytes, None] = OrderedDict()  # ended by WORK_EXCEPTION; WORK_FAIL may follow
         self.latency_ms = 0.0
 
     def send(self, kind: int, *arguments: bytes) -> None:
@@ -165,7 +172,11 @@
         self._by_unique: dict[tuple[bytes, bytes], Work] = {}
         self._ends: OrderedDict[tuple[bytes, bytes], End] = OrderedDict()  # oldest first
         self._ends_bytes = 0
-        self._max_queue: dict[bytes, int] = {}
+        self.queues = Queues(Bounds(self.set.queue_most, self.set.queue_function_most,
+                                    self.set.queue_client_most, self.set.queue_bytes))
+        self._out = [0] * len(config.class_names)  # jobs of the queues that the core has
+        self._unstarted: Counter[tuple[bytes, int]] = Counter()  # drawn jobs that no worker has begun
+        self._stirred = asyncio.Event()
 
     def took_over(self) -> None:
         """From now on this instance holds the service address; a former holder's jobs may still run."""
@@ -182,11 +193,17 @@
     async def run(self) -> None:
         """Forget ends that have expired and end what outlasts a worker's own time-out."""
         while True:
-            await asyncio.sleep(TICK_S)
+            now = self.core.clock.now()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(min(TICK_S, max(0.001, (self.queues.next_expiry() - now) / 1000.0))):
+                    await self._stirred.wait()
+            self._stirred.clear()
+            await self.core.post(self._pump)
             now = self.core.clock.now()
             while self._ends and next(iter(self._ends.values())).expires <= now:
                 self._forget_end(next(iter(self._ends)))
             for session in list(self._workers.values()):
+                await self._end_excepted(session)
                 for handle, assigned in list(session.assigned.items()):
                     if assigned.call is not None and now >= assigned.until:
                         self.counters.add("gearman.worker_timeouts")
@@ -260,6 +277,12 @@
             # A job with a unique runs on: its client may believe it lost and submit it again.
             if not work.listeners and not work.background and not work.unique and work.job is not None:
                 self._works.pop(work.handle, None)
+                if work.waiting is not None:
+                    self.queues.remove(work.waiting)
+                    work.waiting = None
+                    continue
+                self._out[work.job.class_index] -= 1
+                self._starts(work)
                 await self.core.post(partial(self.core.gone, work.job))
         session.waits_for.clear()
         if session.told is not None:
@@ -286,6 +309,7 @@
         elif kind in (GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL):
             await self._grab(session, kind)
         elif kind == PRE_SLEEP:
+            await self._end_excepted(session)
             session.asleep = True
             self._wake(session)
         elif kind in NEWS:
@@ -326,7 +350,7 @@
         name = self.set.functions.get(function.decode("latin-1"))
         if name is None:
             stored = self.store.get("config/functions/" + function.decode("latin-1"), self.core.clock.now())
-            name = stored.decode() if stored else ""
+            name = stored.decode() if stored else self.set.default_class
         return self.classes.get(name)
 
     def _submit(self, session: Session, kind: int, function: bytes, unique: bytes, workload: bytes) -> None:
@@ -344,6 +368,8 @@
             self.counters.add("gearman.joined")
             session.send(JOB_CREATED, work.handle)
             self._listen(session, work, waits)
+            if work.waiting is not None and work.job is not None:
+                self.queues.move(work.waiting, priority, self._expires(work.job, not waits))
             return
         end = self._ends.get(key) if unique else None
         if end is not None and end.expires > self.core.clock.now():
@@ -353,10 +379,9 @@
                 _tell_end(session, end.handle, end.ending, end.body)
             return
         why = self._why_not(class_index, key) if unique else ""
-        limit = self._max_queue.get(function, 0)
-        if not why and 0 < limit <= sum(w.function == function and not w.running
-                                        for w in self._works.values()):
-            why = "queue_full"
+        size = len(function) + len(unique) + len(workload)
+        why = why or self.queues.why_not(function, session.number, priority, size,
+                                         self._unstarted[(function, priority)])
         if why or self.leaving:
             raise PacketError(why or "leaving", "refused; it did not run")
         if self.fence is not None and not self.fence.holds():
@@ -369,8 +394,10 @@
                   self.core.settings.classes[class_index].deadline_ms, partial(self._answered, work),
                   workload, news=partial(self._told, work), front=work, fence=self.fence)
         work.job = job
-        if not self.core.offer(job):
-            raise PacketError("busy", "refused; it did not run")
+        waiting = self.queues.put(work, class_index, function, session.number, priority, size, now,
+                                  self._expires(job, not waits))
+        assert isinstance(waiting, Waiting)  # ``why_not`` was asked just before
+        work.waiting = waiting
         self._works[work.handle] = work
         if unique:
             self._by_unique[key] = work
@@ -379,6 +406,62 @@
         self.counters.add("gearman.submitted")
         session.send(JOB_CREATED, work.handle)
         self._listen(session, work, waits)
+        self._pump()
+        self._stirred.set()
+
+    # -- the queues --
+
+    def _expires(self, job: Job, background: bool) -> float:
+        """Until when a job may wait: its client's deadline, or the life of a background job."""
+        if background:
+            return self.core.clock.now() + self.set.background_s * 1000.0
+        return job.received_at + self.core.settings.classes[job.class_index].deadline_ms - EXPIRE_EARLY_MS
+
+    def _pump(self) -> None:
+        """Offer the core what workers have room for, in the queues' order; end what waited too long."""
+        now = self.core.clock.now()
+        for waiting in self.queues.expired(now):
+            self.counters.add("gearman.expired")
+            waiting.item.waiting = None
+            self._answered(waiting.item, Answer(Ending.REFUSED), drawn=False)
+        for class_index, out in enumerate(self._out):
+            room = self.set.per_worker * self.core.able(class_index) - out
+            while room > 0 and self.core.may_take() and (next_ := self.queues.draw(class_index)) is not None:
+                room -= 1
+                self._offer(next_.item, now)
+
+    def _offer(self, work: Work, now: float) -> None:
+        work.waiting = None
+        assert work.job is not None
+        cls = self.core.settings.classes[work.job.class_index]
+        if work.background and not work.listeners:
+            work.job.received_at = now  # nobody counts from its submission
+        elif work.job.received_at + cls.deadline_ms - now >= TIME_AIMS * cls.aim_ms:
+            # Guards against jobs turned away for having waited: the Balancer takes a request with less left
+            # than usual for a late one.  Waiting here is what a queue is for; the core ends it in time.
+            work.job.told_ms = cls.deadline_ms
+        self._out[work.job.class_index] += 1
+        self._unstarted[(work.function, work.priority)] += 1
+        self.core.offer(work.job)
+
+    def _starts(self, work: Work) -> None:
+        """A drawn job runs, or ended before it did."""
+        if not work.running:
+            work.running = True
+            self._unstarted[(work.function, work.priority)] -= 1
+            if not self._unstarted[(work.function, work.priority)]:
+                del self._unstarted[(work.function, work.priority)]
+
+    def refuse_waiting(self) -> None:
+        """End all that waits: this daemon will not serve it, and none of it ran."""
+        for waiting in self.queues.clear():
+            waiting.item.waiting = None
+            self._answered(waiting.item, Answer(Ending.REFUSED), drawn=False)
+
+    def leave(self) -> None:
+        """Take nothing new, and end what waits."""
+        self.leaving = True
+        self.refuse_waiting()
 
     def _never_twice(self, class_index: int) -> bool:
         return self.core.settings.classes[class_index].effect != Effect.SAFE
@@ -412,7 +495,7 @@
     def _told(self, work: Work, kind: str, arguments: tuple[bytes, ...]) -> None:
         """News of a running job, from the core, for all who wait."""
         if kind == "started":
-            work.running = True
+            self._starts(work)
         elif kind == "status":
             work.progress = (arguments[0], arguments[1])
         for packet, name in NEWS.items():
@@ -421,11 +504,15 @@
                     if packet != WORK_EXCEPTION or session.exceptions:
                         session.send(packet, work.handle, *arguments)
 
-    def _answered(self, work: Work, answer: Answer) -> None:
-        """The final answer of a job, from the core: record it, then tell all who wait."""
+    def _answered(self, work: Work, answer: Answer, drawn: bool = True) -> None:
+        """The final answer of a job, from the core or its queue: record it, then tell all who wait."""
         self._works.pop(work.handle, None)
         key = (work.function, work.unique)
         assert work.job is not None
+        if drawn:
+            self._out[work.job.class_index] -= 1
+            self._starts(work)
+            self._stirred.set()
         if work.unique:
             self._by_unique.pop(key, None)
             never_twice = self._never_twice(work.job.class_index)
@@ -497,14 +584,24 @@
         entry = Listed(session.name, session.name, state, kind=kinds[0] if kinds else 0,
                        zone=self.core.settings.zone, able=able)
         await self.core.post(partial(self.core.listed, SOURCE, ListKind.CHANGES, [entry]))
+        await self.core.post(self._pump)
 
     def _wake(self, session: Session) -> None:
         if session.asleep and session.queue:
             session.asleep = False
             session.send(NOOP)
 
+    async def _end_excepted(self, session: Session) -> None:
+        """A worker that asks for more after WORK_EXCEPTION has ended that job, whether it says so or not."""
+        for handle in [h for h, a in session.assigned.items() if a.excepted]:
+            session.excepted[handle] = None
+            if len(session.excepted) > EXCEPTED_MOST:
+                session.excepted.popitem(last=False)
+            await self._end(session, handle, Outcome(Status.ERROR))
+
     async def _grab(self, session: Session, kind: int) -> None:
         session.asleep = False
+        await self._end_excepted(session)
         if not session.queue:
             session.send(NO_JOB)
             return
@@ -546,6 +643,7 @@
             if len(assigned.parts) + len(arguments[1]) > DATA_MOST:
                 raise PacketError("too_large", "partial results too large")
             assigned.parts += arguments[1]
+        assigned.excepted = assigned.excepted or kind == WORK_EXCEPTION
         if kind == WORK_STATUS:
             with suppress(ValueError, ZeroDivisionError):
                 share = float(arguments[1]) / float(arguments[2])
@@ -553,6 +651,9 @@
         await self.core.post(partial(self.core.news, call, NEWS[kind], tuple(arguments[1:])))
 
     async def _finish(self, session: Session, kind: int, arguments: list[bytes]) -> None:
+        if arguments[0] in session.excepted:
+            del session.excepted[arguments[0]]  # the end that its WORK_EXCEPTION had brought already
+            return
         assigned = self._assigned(session, arguments[0])
         if kind == WORK_FAIL:
             await self._end(session, arguments[0], Outcome(Status.ERROR))
@@ -646,8 +747,10 @@
             return f"OK {os.getpid()}\n".encode()
         if words[0] == "maxqueue" and 2 <= len(words) <= 5 and all(re.fullmatch(r"\d{1,9}", w)
                                                                    for w in words[2:]):
-            self._max_queue[words[1].encode("latin-1")] = int(words[2]) if len(words) > 2 else 0
+            self.queues.limit(words[1].encode("latin-1"), [int(w) for w in words[2:]])
             return b"OK\n"
+        if text == "prioritystatus":
+            return self._priority_lines()
         if words[0] == "shutdown" and words[1:] in ([], ["graceful"]):
             self.shutdown()
             return b"OK\n"
@@ -672,14 +775,17 @@
         return b"ERR UNKNOWN_COMMAND Unknown+server+command\n"
 
     def _status_lines(self) -> bytes:
-        functions = set(self._functions()) | {w.function for w in self._works.values()}
-        lines = []
-        for function in sorted(functions):
-            works = [w for w in self._works.values() if w.function == function]
-            able = sum(function in s.abilities for s in self._workers.values())
-            running = sum(w.running for w in works)
-            lines.append(f"{function.decode('latin-1')}\t{len(works)}\t{running}\t{able}")
-        return _lines(lines)
+        jobs = Counter(w.function for w in self._works.values())
+        running = Counter(w.function for w in self._works.values() if w.running)
+        able = Counter(f for s in self._workers.values() for f in s.abilities)
+        return _lines([f"{f.decode('latin-1')}\t{jobs[f]}\t{running[f]}\t{able[f]}"
+                       for f in sorted(set(self._functions()) | set(jobs))])
+
+    def _priority_lines(self) -> bytes:
+        """Jobs that wait, by priority, and able workers."""
+        able = Counter(f for s in self._workers.values() for f in s.abilities)
+        return _lines(["\t".join([f.decode("latin-1"), *map(str, self.queues.waiting(f)), str(able[f])])
+                       for f in sorted(set(self._functions()) | set(self.queues.functions()))])
 
     async def _cancel_job(self, handle: bytes) -> bytes:
         """Only a job that has not been handed out can be taken back."""
@@ -688,6 +794,11 @@
             return b"ERR UNKNOWN_JOB No+such+job\n"
         if work.running:
             return b"ERR JOB_RUNNING It+has+begun\n"
+        if work.waiting is not None:
+            self.queues.remove(work.waiting)
+            work.waiting = None
+            self._answered(work, Answer(Ending.REFUSED), drawn=False)
+            return b"OK\n"
         await self.core.post(partial(self.core.withdraw, work.job))
         return b"OK\n"
 
--- a/gaphub/service.py
+++ b/gaphub/service.py
@@ -37,6 +37,7 @@
         self.core = core
         self.counters = counters
         self.took_over: Callable[[], None] = lambda: None  # hears that this instance holds from now on
+        self.gave_up: Callable[[], None] = lambda: None  # hears that it does no longer
         self.node = Node(fronts.cluster, counters, self._moved)
         self.fence = LeaseFence(self.front.return_ms, self.node.holds)
         self.announcer = BgpAnnouncer(self.front, fronts.bgp, counters, self.node.clock, self.node.holds,
@@ -56,6 +57,7 @@
             if self.announcer is not None:
                 self.announcer.set(move.term)
             return
+        self.gave_up()
         self._tasks.start(self.core.post(self.core.fence_lost))
         if self.announcer is None:
             return
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,306 @@
+"""The queues before the core: admission, order, fairness, ageing, expiry; and the front that draws from them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from gaphub.gearman.queues import AGEING, OVERHEAD, Bounds, Queues, Waiting
+
+from .scenario import play
+
+
+def put(q: Queues, item: Any, client: Any = 1, priority: int = 1, now: float = 0.0, expires: float = 1e9,
+        function: bytes = b"f", size: int = 10) -> Waiting:
+    job = q.put(item, 0, function, client, priority, size, now, expires)
+    assert isinstance(job, Waiting)
+    return job
+
+
+def drawn(q: Queues) -> list[Any]:
+    found = []
+    while (job := q.draw(0)) is not None:
+        found.append(job.item)
+    return found
+
+
+def test_priority_first_then_first_come() -> None:
+    q = Queues(Bounds())
+    for i, priority in enumerate((2, 1, 0, 1, 0)):
+        put(q, i, priority=priority)
+    assert drawn(q) == [2, 4, 1, 3, 0]
+    assert (q.count, q.bytes, q.functions()) == (0, 0, [])
+
+
+def test_a_flood_of_one_client_delays_another_by_one_job_a_turn() -> None:
+    q = Queues(Bounds())
+    for i in range(100_000):
+        put(q, ("flood", i), client="flood")
+    for i in range(10):
+        put(q, ("small", i), client="small")
+    places = [n for n, item in enumerate(drawn(q)[:100]) if item[0] == "small"]
+    assert len(places) == 10
+    assert max(places) <= 2 * 10 + 10 // AGEING + 3
+
+
+def test_a_stream_of_high_ones_does_not_starve_a_low_one() -> None:
+    q = Queues(Bounds())
+    put(q, "low", priority=2)
+    for n in range(AGEING):
+        put(q, n, priority=0)
+        put(q, n, priority=0)
+        if q.draw(0).item == "low":  # type: ignore[union-attr]
+            break
+    else:
+        raise AssertionError("starved")
+    assert n < AGEING
+
+
+@pytest.mark.parametrize(("bounds", "why"), [
+    (Bounds(jobs=2), "queues_full"), (Bounds(jobs_function=2), "function_queue_full"),
+    (Bounds(jobs_client=2), "client_queue_full"), (Bounds(total_bytes=2 * (OVERHEAD + 10)), "queues_full")])
+def test_admission(bounds: Bounds, why: str) -> None:
+    q = Queues(bounds)
+    job = put(q, 1)
+    put(q, 2)
+    assert q.put(3, 0, b"f", 1, 1, 10, 0.0, 1.0) == why
+    assert q.refused == 1
+    assert q.remove(job)
+    assert not q.remove(job)
+    put(q, 3)
+
+
+def test_maxqueue_by_priority() -> None:
+    q = Queues(Bounds())
+    q.limit(b"f", [1, 2, 0])
+    put(q, 1, priority=0)
+    assert q.put(2, 0, b"f", 1, 0, 1, 0.0, 1.0) == "queue_full"
+    for i in range(5):
+        put(q, i, priority=2)
+    put(q, 1, priority=1)
+    assert q.why_not(b"f", 1, 1, 1, drawn=1) == "queue_full"
+    q.limit(b"f", [])
+    put(q, 1, priority=0)
+
+
+def test_what_waits_too_long_comes_out_once() -> None:
+    q = Queues(Bounds())
+    jobs = [put(q, i, expires=float(i)) for i in range(10)]
+    q.move(jobs[2], 0, 100.0)  # somebody joined who waits longer
+    assert [j.item for j in q.expired(4.0)] == [0, 1, 3, 4]
+    assert list(q.expired(4.0)) == []
+    assert q.next_expiry() <= 5.0
+    assert drawn(q) == [2, 5, 6, 7, 8, 9]
+
+
+def test_memory_follows_what_waits() -> None:
+    q = Queues(Bounds())
+    for n in range(20_000):
+        job = put(q, n, client=n % 7, priority=n % 3)
+        if n >= 10:
+            q.remove(job)
+    kept = q._classes[0]
+    assert len(q._expiry) < 200
+    assert sum(len(jobs) for lane in kept.lanes for jobs in lane.clients.values()) < 200
+    assert len(kept.by_age) < 200
+
+
+class Model(RuleBasedStateMachine):
+    """Any order of calls against a list."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.q = Queues(Bounds(jobs=30))
+        self.jobs: list[Waiting] = []
+        self.now = 0.0
+        self.moved = False  # whether any job changed its lane
+
+    @rule(client=st.integers(0, 3), priority=st.integers(0, 2), life=st.integers(1, 50), cls=st.integers(0, 1))
+    def put(self, client: int, priority: int, life: int, cls: int) -> None:
+        job = self.q.put(object(), cls, b"f%d" % cls, client, priority, 5, self.now, self.now + life)
+        assert isinstance(job, Waiting) == (len(self.jobs) < 30)
+        if isinstance(job, Waiting):
+            self.jobs.append(job)
+
+    @precondition(lambda self: self.jobs)
+    @rule(cls=st.integers(0, 1))
+    def draw(self, cls: int) -> None:
+        of = [j for j in self.jobs if j.class_index == cls]
+        job = self.q.draw(cls)
+        assert (job is None) == (not of)
+        if job is not None:
+            oldest = min(of, key=lambda j: j.number)
+            best = min(j.priority for j in of)
+            assert job is oldest or job.priority == best
+            if job is not oldest and not self.moved:
+                assert not [j for j in of if (j.client, j.priority) == (job.client, job.priority)
+                            and j.number < job.number], "first come first served within a client"
+            self.jobs.remove(job)
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data())
+    def remove(self, data: st.DataObject) -> None:
+        job = data.draw(st.sampled_from(self.jobs))
+        assert self.q.remove(job)
+        self.jobs.remove(job)
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data(), priority=st.integers(0, 2), life=st.integers(1, 80))
+    def join(self, data: st.DataObject, priority: int, life: int) -> None:
+        job = data.draw(st.sampled_from(self.jobs))
+        before = job.priority, job.expires
+        self.moved = True
+        self.q.move(job, priority, self.now + life)
+        assert (job.priority, job.expires) == (min(before[0], priority), max(before[1], self.now + life))
+
+    @rule(ms=st.integers(1, 30))
+    def wait(self, ms: int) -> None:
+        self.now += ms
+        over = [j for j in self.jobs if j.expires <= self.now]
+        assert set(map(id, self.q.expired(self.now))) == set(map(id, over))
+        self.jobs = [j for j in self.jobs if j not in over]
+
+    @invariant()
+    def sums(self) -> None:
+        assert self.q.count == len(self.jobs)
+        assert self.q.bytes == sum(j.size for j in self.jobs)
+        for cls in (0, 1):
+            seen = Counter(j.priority for j in self.jobs if j.class_index == cls)
+            assert self.q.waiting(b"f%d" % cls) == [seen[p] for p in range(3)]
+        assert self.q.oldest_ms(self.now) >= 0.0
+
+
+TestModel = Model.TestCase
+TestModel.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(0, 2)), min_size=1, max_size=60))
+def test_the_oldest_is_drawn_within_the_bound(jobs: list[tuple[int, int]]) -> None:
+    q = Queues(Bounds())
+    for n, (client, priority) in enumerate(jobs):
+        put(q, n, client, priority)
+    waits = 0
+    waiting = set(range(len(jobs)))
+    while waiting:
+        oldest = min(waiting)
+        job = q.draw(0)
+        assert job is not None
+        waiting.discard(job.item)
+        waits = 0 if job.item == oldest else waits + 1
+        assert waits < AGEING
+
+
+# --- the front -----------------------------------------------------------------------------------------
+
+FRONTS = """
+[gearman]
+listen = "127.0.0.1:PORT"
+functions = { pos = "poloha", bill = "vyuctovani" }
+hold_after_start = false
+default_class = "poloha"
+per_worker = 1
+"""
+SCENARIOS = {
+    "jobs wait until a worker comes, and all are served": """
+        g send 7 pos||one
+        g expect #8
+        g send 7 pos||two
+        g expect #8
+        a send status\\n
+        a expect pos\\t2\\t0\\t0
+        a send prioritystatus\\n
+        a expect pos\\t0\\t2\\t0\\t0
+        g2 send 1 pos
+        g2 send 4
+        g2 expect #6
+        g2 send 9
+        g2 expect #11 (?P<h>H:[^\\x00]*)\\x00pos\\x00one
+        g2 send 13 $h|done one
+        g expect #13 .*done one
+        g2 send 4
+        g2 expect #6
+        g2 send 9
+        g2 expect #11 (?P<h>H:[^\\x00]*)\\x00pos\\x00two
+        g2 send 13 $h|done two
+        g expect #13 .*done two
+    """,
+    "a function without an entry gets the default class": """
+        g send 7 any||x
+        g expect #8
+        g2 send 1 any
+        g2 send 4
+        g2 expect #6
+        g2 send 9
+        g2 expect #11 (?P<h>H:[^\\x00]*)\\x00any\\x00x
+    """,
+    "a waiting job can be cancelled, and its client hears": """
+        g send 7 pos||x
+        g expect #8 (?P<h>H:\\S*:\\d+)
+        a send cancel job $h\\n
+        a expect OK
+        g expect #14
+        count requests.taken 0
+    """,
+    "who leaves takes its waiting job along": """
+        g send 7 pos||x
+        g expect #8
+        g close
+        wait 50
+        a send status\\n
+        a expect pos\\t0\\t0\\t0
+    """,
+    "an exception ends the job when its worker asks for more, and a late WORK_FAIL is no error": """
+        g send 7 pos||x
+        g expect #8
+        g2 send 1 pos
+        g2 send 4
+        g2 expect #6
+        g2 send 9
+        g2 expect #11 (?P<h>H:[^\\x00]*)\\x00pos
+        g2 send 25 $h|broken
+        g2 send 9
+        g expect #14
+        g2 expect #10
+        g2 send 14 $h
+        g2 send 16 still here
+        g2 expect #17 still here
+    """,
+    "what waits is refused when the daemon leaves": """
+        g send 7 pos||x
+        g expect #8
+        term
+        g expect #14
+        ended
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_front(name: str) -> None:
+    play(SCENARIOS[name], fronts=FRONTS, known="")
+
+
+def test_a_job_that_waits_too_long_is_answered_by_its_deadline() -> None:
+    classes = [{"name": "poloha", "slo": 100.0, "deadline": 300.0, "idempotency": "idempotent"},
+               {"name": "vyuctovani", "slo": 100.0, "deadline": 300.0, "idempotency": "at_most_once"}]
+    play("""
+        g send 7 bill|u|x
+        g expect #8
+        g expect #14
+        count gearman.expired 1
+        count requests.taken 0
+    """, fronts=FRONTS, known="", settings={"grades": classes})
+
+
+def test_a_thousand_submits_and_one_worker() -> None:
+    jobs = "\n".join(f"g send {(7, 21, 33)[n % 3]} pos||{n}" for n in range(1000))
+    worker = "\n".join(["g2 send 4\ng2 expect #6\ng2 send 9\ng2 expect #11 (?P<h>H:[^\\x00]*)\\x00pos\n"
+                        "g2 send 13 $h|ok"] * 1000)
+    play(f"{jobs}\ng2 send 1 pos\n{worker}\ncount requests.served 1000", fronts=FRONTS, known="",
+         settings={"grades": [{"name": "poloha", "slo": 500.0, "deadline": 60_000.0, "idempotency": "idempotent"},
+                              {"name": "vyuctovani", "slo": 500.0, "deadline": 60_000.0}]})
