Gearman: scheduled and epoch jobs, the codec in a module of its own

Change: gaphub/gearman/codec.py and schedule.py, both pure; a due job goes through the queues' admission, and tries again where they are full. What is due is asked of the wall clock as it is, so steps of it neither repeat nor lose a job.

--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -215,6 +215,7 @@
     ends_bytes: int = 16_000_000
     default_class: str = ""  # of functions without an entry; empty: they are refused
     background_s: float = 3600.0  # how long a background job may wait
+    schedule_most: int = 10_000  # jobs that wait for a moment of the wall clock
     per_worker: int = 4  # jobs that are out for each worker that can run them; more wait before the core
     queue_most: int = 200_000  # jobs that wait, in all
     queue_function_most: int = 200_000  # of one function
@@ -427,6 +428,7 @@
                        ("store.entries_most", fronts.store.entries_most),
                        ("gearman.ends_most", fronts.gearman.ends_most),
                        ("gearman.background_s", fronts.gearman.background_s),
+                       ("gearman.schedule_most", fronts.gearman.schedule_most),
                        ("gearman.per_worker", fronts.gearman.per_worker),
                        ("gearman.queue_most", fronts.gearman.queue_most),
                        ("gearman.queue_function_most", fronts.gearman.queue_function_most),
--- /dev/null
+++ b/gaphub/gearman/schedule.py
@@ -0,0 +1,114 @@
+"""Owns the jobs that are to begin at a moment of the wall clock, and what such a moment is.
+
+Pure: the wall clock's time is handed in, in Unix seconds, and may step; what is due is asked of the time as it is
+now, so a step forward brings jobs sooner and a step back later, as their clients' own clocks would.  It must
+never give a job out twice, and never forget one that nobody took out.
+"""
+
+from __future__ import annotations
+
+import datetime
+from heapq import heapify, heappop, heappush
+from typing import Any
+
+from .codec import PacketError
+
+AHEAD_MOST_S = 366 * 86400.0  # a moment further ahead is refused
+DAYS_MOST = 8 * 366 + 1  # within so many days every day that exists comes, 29 February too
+# Minute, hour, day of the month, month, day of the week (0: Monday), as the protocol orders them.
+_RANGES = (("minute", 0, 59), ("hour", 0, 23), ("day of month", 1, 31), ("month", 1, 12), ("day of week", 0, 6))
+
+
+def epoch(text: bytes, now_s: float) -> float:
+    """The moment of SUBMIT_JOB_EPOCH, in Unix seconds; PacketError if it is none, or too far ahead."""
+    if not text.isdigit() or len(text) > 12:
+        raise PacketError("invalid_packet", "epoch is not a number")
+    moment = float(text)
+    if moment > now_s + AHEAD_MOST_S:
+        raise PacketError("too_far", "over a year ahead")
+    return moment
+
+
+def next_moment(fields: list[bytes], now_s: float) -> float:
+    """The next moment that SUBMIT_JOB_SCHED's five fields name, in UTC; an empty field means any.
+
+    PacketError for a field out of its range and for a day that never comes, such as 31 February.
+    """
+    values: list[int | None] = []
+    for text, (name, least, most) in zip(fields, _RANGES, strict=True):
+        if not text:
+            values.append(None)
+        elif not text.isdigit() or len(text) > 2 or not least <= int(text) <= most:
+            raise PacketError("invalid_packet", f"{name} is not from {least} to {most}")
+        else:
+            values.append(int(text))
+    minute, hour, day, month, weekday = values
+    # The next whole minute: a moment that has begun is past.
+    first = datetime.datetime.fromtimestamp(int(now_s) // 60 * 60 + 60, datetime.UTC)
+    date = first.date()
+    for n in range(DAYS_MOST):
+        if (day in (None, date.day) and month in (None, date.month) and weekday in (None, date.weekday())):
+            found = _within(first if n == 0 else None, minute, hour)
+            if found is not None:
+                at = datetime.datetime.combine(date, datetime.time(*found), datetime.UTC)
+                return at.timestamp()
+        date += datetime.timedelta(days=1)
+    raise PacketError("invalid_packet", "a day that never comes")
+
+
+def _within(first: datetime.datetime | None, minute: int | None, hour: int | None) -> tuple[int, int] | None:
+    """The first hour and minute of a day that fit, not before ``first``; None: none is left."""
+    for h in range(24) if hour is None else (hour,):
+        for m in range(60) if minute is None else (minute,):
+            if first is None or (h, m) >= (first.hour, first.minute):
+                return h, m
+    return None
+
+
+class Schedule:
+    """The jobs that are to come; bounded."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self._heap: list[tuple[float, int, Any]] = []
+        self._live: dict[int, float] = {}  # when each is due, by the id of its entry
+        self._numbers: dict[int, int] = {}
+        self._serial = 0
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def put(self, item: Any, due_s: float) -> bool:
+        """Keep a job until its moment; False if there is no room."""
+        if len(self._live) >= self.most:
+            return False
+        self._serial += 1
+        self._live[self._serial] = due_s
+        self._numbers[id(item)] = self._serial
+        heappush(self._heap, (due_s, self._serial, item))
+        return True
+
+    def remove(self, item: Any) -> bool:
+        """Take a job out before its moment; False if it is not here."""
+        number = self._numbers.pop(id(item), 0)
+        if not number:
+            return False
+        del self._live[number]
+        if len(self._heap) > 2 * len(self._live) + 64:
+            self._heap = [e for e in self._heap if e[1] in self._live]
+            heapify(self._heap)
+        return True
+
+    def due(self, now_s: float) -> list[Any]:
+        """Take out all whose moment has come, the earliest first."""
+        found = []
+        while self._heap and (self._heap[0][0] <= now_s or self._heap[0][1] not in self._live):
+            _, number, item = heappop(self._heap)
+            if self._live.pop(number, None) is not None:
+                del self._numbers[id(item)]
+                found.append(item)
+        return found
+
+    def clear(self) -> list[Any]:
+        """Take out all."""
+        return self.due(float("inf"))
--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -13,7 +13,7 @@
 import os
 import random
 import re
-import struct
+import time
 import zlib
 from collections import Counter, OrderedDict
 from collections.abc import Callable
@@ -25,7 +25,48 @@
 from .. import __version__
 from ..config import Config
 from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome
+from ..gearman.codec import (
+    CAN_DO,
+    CAN_DO_TIMEOUT,
+    CANT_DO,
+    ECHO_REQ,
+    ECHO_RES,
+    ERROR,
+    GET_STATUS,
+    GET_STATUS_UNIQUE,
+    GRAB_JOB,
+    GRAB_JOB_ALL,
+    GRAB_JOB_UNIQ,
+    HEADER,
+    JOB_ASSIGN,
+    JOB_ASSIGN_ALL,
+    JOB_ASSIGN_UNIQ,
+    JOB_CREATED,
+    NEWS,
+    NO_JOB,
+    NOOP,
+    OPTION_REQ,
+    OPTION_RES,
+    PRE_SLEEP,
+    REQUEST,
+    RESET_ABILITIES,
+    SET_CLIENT_ID,
+    STATUS_RES,
+    STATUS_RES_UNIQUE,
+    SUBMIT_JOB_EPOCH,
+    SUBMIT_JOB_SCHED,
+    SUBMITS,
+    WORK_COMPLETE,
+    WORK_DATA,
+    WORK_EXCEPTION,
+    WORK_FAIL,
+    WORK_STATUS,
+    PacketError,
+    pack,
+    split,
+)
 from ..gearman.queues import Bounds, Queues, Waiting
+from ..gearman.schedule import Schedule, epoch, next_moment
 from ..interface import Effect, ListKind, Status, WorkerState
 from ..metrics import Counters
 from ..store import Store
@@ -39,45 +80,12 @@
 QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
 DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
 TICK_S = 0.5
+AGAIN_S = 1.0  # a scheduled job that is due and finds no room waits so long
 EXPIRE_EARLY_MS = 5.0  # a job that waits is answered so long before its client's deadline
 TIME_AIMS = 3.0  # a drawn job with more of its class's aims left is no late one
 EXCEPTED_MOST = 64  # handles of a session whose WORK_FAIL may still follow a WORK_EXCEPTION
 DRAIN_S = 30.0  # for a peer to take what it is sent
 
-(CAN_DO, CANT_DO, RESET_ABILITIES, PRE_SLEEP, _UNUSED, NOOP, SUBMIT_JOB, JOB_CREATED, GRAB_JOB, NO_JOB,
- JOB_ASSIGN, WORK_STATUS, WORK_COMPLETE, WORK_FAIL, GET_STATUS, ECHO_REQ, ECHO_RES, SUBMIT_JOB_BG, ERROR,
- STATUS_RES, SUBMIT_JOB_HIGH, SET_CLIENT_ID, CAN_DO_TIMEOUT, ALL_YOURS, WORK_EXCEPTION, OPTION_REQ,
- OPTION_RES, WORK_DATA, WORK_WARNING, GRAB_JOB_UNIQ, JOB_ASSIGN_UNIQ, SUBMIT_JOB_HIGH_BG, SUBMIT_JOB_LOW,
- SUBMIT_JOB_LOW_BG, SUBMIT_JOB_SCHED, SUBMIT_JOB_EPOCH, SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BG,
- GRAB_JOB_ALL, JOB_ASSIGN_ALL, GET_STATUS_UNIQUE, STATUS_RES_UNIQUE) = range(1, 43)
-
-# Submits: priority (0 is served first) and whether the client waits for the end.
-SUBMITS = {SUBMIT_JOB_HIGH: (0, True), SUBMIT_JOB: (1, True), SUBMIT_JOB_LOW: (2, True),
-           SUBMIT_JOB_HIGH_BG: (0, False), SUBMIT_JOB_BG: (1, False), SUBMIT_JOB_LOW_BG: (2, False)}
-# How many arguments a packet has.
-ARGUMENTS = {
-    CAN_DO: 1, CANT_DO: 1, RESET_ABILITIES: 0, PRE_SLEEP: 0, GRAB_JOB: 0, GRAB_JOB_UNIQ: 0, GRAB_JOB_ALL: 0,
-    WORK_STATUS: 3, WORK_COMPLETE: 2, WORK_FAIL: 1, GET_STATUS: 1, GET_STATUS_UNIQUE: 1, ECHO_REQ: 1,
-    SET_CLIENT_ID: 1, CAN_DO_TIMEOUT: 2, ALL_YOURS: 0, WORK_EXCEPTION: 2, OPTION_REQ: 1, WORK_DATA: 2,
-    WORK_WARNING: 2, **dict.fromkeys(SUBMITS, 3),
-}
-NEWS = {WORK_STATUS: "status", WORK_DATA: "data", WORK_WARNING: "warning", WORK_EXCEPTION: "exception"}
-_HEADER = struct.Struct(">4sII")
-
-
-def pack(kind: int, *arguments: bytes, magic: bytes = b"\0RES") -> bytes:
-    """A packet."""
-    body = b"\0".join(arguments)
-    return _HEADER.pack(magic, kind, len(body)) + body
-
-
-class PacketError(Exception):
-    """A packet that is answered with ERROR and dropped."""
-
-    def __init__(self, code: str, why: str) -> None:
-        super().__init__(why)
-        self.code = code
-
 
 @dataclass(slots=True, eq=False)
 class Work:
@@ -91,6 +99,8 @@
     listeners: list[Session] = field(default_factory=list)
     job: Job | None = None
     waiting: Waiting | None = None  # before the core; None once it was offered
+    client: int = 0  # of a scheduled job: whose it is, and its size in the queues
+    size: int = 0
     running: bool = False
     progress: tuple[bytes, bytes] = (b"0", b"0")
 
@@ -174,6 +184,7 @@
         self._ends_bytes = 0
         self.queues = Queues(Bounds(self.set.queue_most, self.set.queue_function_most,
                                     self.set.queue_client_most, self.set.queue_bytes))
+        self.schedule = Schedule(self.set.schedule_most)
         self._out = [0] * len(config.class_names)  # jobs of the queues that the core has
         self._unstarted: Counter[tuple[bytes, int]] = Counter()  # drawn jobs that no worker has begun
         self._stirred = asyncio.Event()
@@ -198,6 +209,7 @@
                 async with asyncio.timeout(min(TICK_S, max(0.001, (self.queues.next_expiry() - now) / 1000.0))):
                     await self._stirred.wait()
             self._stirred.clear()
+            self._begin_due()
             await self.core.post(self._pump)
             now = self.core.clock.now()
             while self._ends and next(iter(self._ends.values())).expires <= now:
@@ -249,8 +261,8 @@
                     writer.write(await self._command(line))
                     await self._drain(writer)
                 continue
-            magic, kind, size = _HEADER.unpack(first + await reader.readexactly(_HEADER.size - 1))
-            if magic != b"\0REQ" or size > SKIP_MOST:
+            magic, kind, size = HEADER.unpack(first + await reader.readexactly(HEADER.size - 1))
+            if magic != REQUEST or size > SKIP_MOST:
                 self.counters.log("garbled.packet", f"magic {magic!r}, size {size}")
                 return
             try:
@@ -297,15 +309,16 @@
     # -- packets --
 
     async def _packet(self, session: Session, kind: int, data: bytes) -> None:
-        count = ARGUMENTS.get(kind)
-        if count is None:
-            raise PacketError("unknown_command", f"unknown packet type {kind}")
-        arguments = data.split(b"\0", count - 1) if count else []
-        if len(arguments) != count or (not count and data):
-            raise PacketError("invalid_packet", f"{len(arguments)} arguments instead of {count}")
+        arguments = split(kind, data)
         self.counters.add("gearman.packets")
         if kind in SUBMITS:
-            self._submit(session, kind, *arguments)
+            function, unique, *moment, workload = arguments
+            due = None
+            if kind == SUBMIT_JOB_EPOCH:
+                due = epoch(moment[0], time.time())
+            elif kind == SUBMIT_JOB_SCHED:
+                due = next_moment(moment, time.time())
+            self._submit(session, kind, function, unique, workload, due)
         elif kind in (GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL):
             await self._grab(session, kind)
         elif kind == PRE_SLEEP:
@@ -353,7 +366,8 @@
             name = stored.decode() if stored else self.set.default_class
         return self.classes.get(name)
 
-    def _submit(self, session: Session, kind: int, function: bytes, unique: bytes, workload: bytes) -> None:
+    def _submit(self, session: Session, kind: int, function: bytes, unique: bytes, workload: bytes,
+                due: float | None = None) -> None:
         priority, waits = SUBMITS[kind]
         class_index = self._class_of(function)
         if class_index is None:
@@ -394,10 +408,12 @@
                   self.core.settings.classes[class_index].deadline_ms, partial(self._answered, work),
                   workload, news=partial(self._told, work), front=work, fence=self.fence)
         work.job = job
-        waiting = self.queues.put(work, class_index, function, session.number, priority, size, now,
-                                  self._expires(job, not waits))
-        assert isinstance(waiting, Waiting)  # ``why_not`` was asked just before
-        work.waiting = waiting
+        if due is None:
+            self._queue(work, session.number, size)
+        elif not self.schedule.put(work, due):
+            raise PacketError("schedule_full", "refused; it did not run")
+        else:
+            work.client, work.size = session.number, size
         self._works[work.handle] = work
         if unique:
             self._by_unique[key] = work
@@ -411,6 +427,22 @@
 
     # -- the queues --
 
+    def _queue(self, work: Work, client: int, size: int) -> bool:
+        """Let a job wait for a worker's room."""
+        assert work.job is not None
+        found = self.queues.put(work, work.job.class_index, work.function, client, work.priority, size,
+                                self.core.clock.now(), self._expires(work.job, work.background))
+        work.waiting = found if isinstance(found, Waiting) else None
+        return work.waiting is not None
+
+    def _begin_due(self) -> None:
+        """Queue what is due by the wall clock as it is now; where no room is left, it tries again in a while."""
+        now_s = time.time()
+        for work in self.schedule.due(now_s):
+            if not self._queue(work, work.client, work.size):
+                self.counters.add("gearman.due_and_no_room")
+                self.schedule.put(work, now_s + AGAIN_S)
+
     def _expires(self, job: Job, background: bool) -> float:
         """Until when a job may wait: its client's deadline, or the life of a background job."""
         if background:
@@ -457,6 +489,8 @@
         for waiting in self.queues.clear():
             waiting.item.waiting = None
             self._answered(waiting.item, Answer(Ending.REFUSED), drawn=False)
+        for work in self.schedule.clear():
+            self._answered(work, Answer(Ending.REFUSED), drawn=False)
 
     def leave(self) -> None:
         """Take nothing new, and end what waits."""
@@ -794,8 +828,9 @@
             return b"ERR UNKNOWN_JOB No+such+job\n"
         if work.running:
             return b"ERR JOB_RUNNING It+has+begun\n"
-        if work.waiting is not None:
-            self.queues.remove(work.waiting)
+        if work.waiting is not None or self.schedule.remove(work):
+            if work.waiting is not None:
+                self.queues.remove(work.waiting)
             work.waiting = None
             self._answered(work, Answer(Ending.REFUSED), drawn=False)
             return b"OK\n"
--- a/tests/test_never_twice.py
+++ b/tests/test_never_twice.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from typing import Any
 
-from gaphub.net import gearman as g
+from gaphub.gearman import codec as g
 
 from .scenario import Cast
 
@@ -80,7 +80,7 @@
 
 
 async def packet(reader: asyncio.StreamReader) -> tuple[int, list[bytes]]:
-    _, kind, size = g._HEADER.unpack(await reader.readexactly(12))
+    _, kind, size = g.HEADER.unpack(await reader.readexactly(12))
     return kind, (await reader.readexactly(size)).split(b"\0", 2)
 
 
--- /dev/null
+++ b/tests/test_schedule.py
@@ -0,0 +1,146 @@
+"""Jobs that begin at a moment of the wall clock: what the moment is, and the front that keeps them."""
+
+from __future__ import annotations
+
+import calendar
+import datetime
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gaphub.gearman.codec import PacketError, pack, split
+from gaphub.gearman.schedule import AHEAD_MOST_S, Schedule, epoch, next_moment
+
+from .scenario import play
+
+NOW = calendar.timegm((2026, 12, 1, 13, 30, 20))  # a Tuesday
+
+
+@pytest.mark.parametrize(("fields", "wanted"), [
+    (("", "", "", "", ""), (2026, 12, 1, 13, 31)), (("30", "", "", "", ""), (2026, 12, 1, 14, 30)),
+    (("0", "9", "", "", ""), (2026, 12, 2, 9, 0)), (("", "15", "", "", ""), (2026, 12, 1, 15, 0)),
+    (("5", "4", "1", "1", ""), (2027, 1, 1, 4, 5)), (("0", "0", "", "", "0"), (2026, 12, 7, 0, 0)),
+    (("0", "0", "29", "2", ""), (2028, 2, 29, 0, 0)), (("31", "13", "1", "12", "1"), (2026, 12, 1, 13, 31)),
+    (("", "", "13", "", "4"), (2027, 8, 13, 0, 0))])
+def test_moments(fields: tuple[str, ...], wanted: tuple[int, ...]) -> None:
+    assert next_moment([f.encode() for f in fields], NOW) == calendar.timegm((*wanted, 0))
+
+
+@pytest.mark.parametrize("fields", [("60", "", "", "", ""), ("", "24", "", "", ""), ("", "", "0", "", ""),
+                                    ("", "", "", "13", ""), ("", "", "", "", "7"), ("x", "", "", "", ""),
+                                    ("", "", "31", "2", ""), ("", "", "-1", "", ""), ("001", "", "", "", "")])
+def test_moments_that_are_none(fields: tuple[str, ...]) -> None:
+    with pytest.raises(PacketError):
+        next_moment([f.encode() for f in fields], NOW)
+
+
+optional = [st.one_of(st.none(), st.integers(a, b)) for a, b in ((0, 59), (0, 23), (1, 28), (1, 12), (0, 6))]
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.tuples(*optional), st.integers(0, 4_000_000_000))
+def test_the_moment_fits_and_lies_ahead(fields: tuple[int | None, ...], now: int) -> None:
+    moment = next_moment([b"" if f is None else b"%d" % f for f in fields], now)
+    at = datetime.datetime.fromtimestamp(moment, datetime.UTC)
+    assert moment - now > 0
+    for want, have in zip(fields, (at.minute, at.hour, at.day, at.month, at.weekday()), strict=True):
+        assert want in (None, have)
+    if all(f is None for f in fields[1:]):
+        assert moment - now <= 3660
+
+
+@pytest.mark.parametrize("text", [b"", b"x", b"-5", b"1.5", b"9" * 13])
+def test_epochs_that_are_none(text: bytes) -> None:
+    with pytest.raises(PacketError):
+        epoch(text, NOW)
+    with pytest.raises(PacketError, match="over a year"):
+        epoch(b"%d" % (NOW + AHEAD_MOST_S + 1), NOW)
+    assert epoch(b"5", NOW) == 5.0, "a moment that is past is due at once"
+
+
+def test_a_clock_that_steps() -> None:
+    kept = Schedule(10)
+    for name, due in (("a", 100.0), ("b", 200.0), ("c", 300.0)):
+        assert kept.put(name, due)
+    assert kept.due(150.0) == ["a"]
+    assert kept.due(50.0) == [], "a step back gives nothing twice"
+    assert kept.remove("b")
+    assert not kept.remove("b")
+    assert kept.due(1e9) == ["c"], "a step forward brings what is due by it"
+    assert len(kept) == 0
+
+
+@given(st.lists(st.tuples(st.integers(0, 50), st.booleans()), max_size=60), st.integers(1, 40))
+def test_each_is_given_out_once_and_none_is_forgotten(jobs: list[tuple[int, bool]], most: int) -> None:
+    kept, items, out = Schedule(most), [], []
+    for due, leave in jobs:
+        item = [due]
+        if kept.put(item, float(due)):
+            items.append(item)
+            if leave:
+                assert kept.remove(item)
+                items = [x for x in items if x is not item]
+        assert len(kept) == len(items) <= most
+    for now in range(51):
+        out += kept.due(float(now))
+    assert len(out) == len(items)
+    assert {id(x) for x in out} == {id(x) for x in items}
+
+
+@given(st.integers(0, 60), st.binary(max_size=60))
+def test_any_packet_is_split_or_refused(kind: int, data: bytes) -> None:
+    try:
+        arguments = split(kind, data)
+    except PacketError:
+        return
+    assert b"\0".join(arguments) == data
+    assert pack(kind, *arguments)[12:] == data
+
+
+FRONTS = """
+[gearman]
+listen = "127.0.0.1:PORT"
+functions = { pos = "poloha" }
+schedule_most = 2
+"""
+WORKER = """
+    g2 send 1 pos
+    g2 send 4
+    g2 expect #6
+    g2 send 9
+    g2 expect #11 (?P<h>H:[^\\x00]*)\\x00pos\\x00later
+"""
+SCENARIOS = {
+    "an epoch that is past begins at once": "g send 36 pos||5|later\ng expect #8\n" + WORKER,
+    "an epoch ahead waits": f"""
+        g send 36 pos||{int(time.time()) + 9000}|later
+        g expect #8 (?P<j>H:\\S*:\\d+)
+        g2 send 1 pos
+        g2 send 9
+        g2 expect #10
+        g send 15 $j
+        g expect #20 .*\\x001\\x000\\x000\\x000
+        a send cancel job $j\\n
+        a expect OK
+        g send 15 $j
+        g expect #20 .*\\x000\\x000\\x000\\x000
+    """,
+    "a schedule that is full refuses": "".join(f"""
+        g send 35 pos||0|0|1|1||later
+        g expect #{kind}
+    """ for kind in (8, 8, "19 schedule_full")),
+    "fields that are none are refused": """
+        g send 35 pos||77|0|1|1||later
+        g expect #19 invalid_packet
+        g send 36 pos||soon|later
+        g expect #19 invalid_packet
+        count gearman.submitted 0
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_front(name: str) -> None:
+    play(SCENARIOS[name], fronts=FRONTS, known="")
