Gearman over TLS, reloaded without dropping sessions; idle sessions end

Change: gaphub/gearman/tls.py; one listening socket that new contexts take over; gaphub key cert makes a CA and certificates; idle_s.

Measured: no certificate, one of another CA, TLS 1.2 under a minimum of 1.3 and a plain client are turned away; a session from before a reload goes on; a faulty key file leaves the old one in force.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -115,6 +115,7 @@
             reload.also.append(address.node.reload_keys)
         if moving is not None:
             await moving.open()
+        reload.also.append(gearmen.reload_tls)
         for work in (core.run(), outbound.run(), destinations.run(), gearmen.run(), sinks.run_graphite(),
                      sinks.run_collectd(), reload.run(destinations)):
             actors.start(work)
--- a/gaphub/cli.py
+++ b/gaphub/cli.py
@@ -220,6 +220,23 @@
     _change(file, lambda entries: [e for e in entries if e.id != ident])
 
 
+@key.command("cert")
+@click.option("--dir", "folder", required=True, type=click.Path(), help="Where the files go.")
+@click.option("--name", "names", multiple=True, default=("localhost", "127.0.0.1"), show_default=True,
+              help="Host names and addresses of the server.")
+@click.option("--client", "clients", multiple=True, help="A client's certificate beside it, by its name.")
+def key_cert(folder: str, names: tuple[str, ...], clients: tuple[str, ...]) -> None:
+    """Make a CA of its own, a server certificate and clients' ones, to try TLS on the Gearman front."""
+    from .gearman.tls import make_certificates
+
+    try:
+        for path in make_certificates(Path(folder), list(names), list(clients)):
+            click.echo(path)
+    except OSError as error:
+        click.echo(f"{error.filename or folder}: {error.strerror}", err=True)
+        raise SystemExit(2) from None
+
+
 class _Lab(click.Group):
     """The lab's commands, loaded when one is asked for: they need the extra ``gaphub[lab]``."""
 
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -215,6 +215,11 @@
     ends_bytes: int = 16_000_000
     default_class: str = ""  # of functions without an entry; empty: they are refused
     background_s: float = 3600.0  # how long a background job may wait
+    tls_cert: str = ""  # PEM file; empty: plain TCP
+    tls_key: str = ""  # PEM file, readable by the daemon's user alone
+    tls_ca: str = ""  # clients and workers must show a certificate of these; empty: none is asked for
+    tls_minimum: Literal["1.2", "1.3"] = "1.2"
+    idle_s: float = 0.0  # a session without a job that says nothing for so long is closed; 0: never
     schedule_most: int = 10_000  # jobs that wait for a moment of the wall clock
     per_worker: int = 4  # jobs that are out for each worker that can run them; more wait before the core
     queue_most: int = 200_000  # jobs that wait, in all
@@ -423,6 +428,12 @@
         raise ConfigError(f"gearman.default_class: {fronts.gearman.default_class!r} is none of "
                           f"{', '.join(classes)}")
     fronts.gearman_at()
+    if bool(fronts.gearman.tls_cert) != bool(fronts.gearman.tls_key):
+        raise ConfigError("gearman.tls_key: tls_cert and tls_key go together")
+    if fronts.gearman.tls_ca and not fronts.gearman.tls_cert:
+        raise ConfigError("gearman.tls_ca: needs tls_cert")
+    if not fronts.gearman.idle_s >= 0:
+        raise ConfigError("gearman.idle_s: must not be negative")
     for key, value in (("gearman.keep_s", fronts.gearman.keep_s), ("store.round_s", fronts.store.round_s),
                        ("store.counters_s", fronts.store.counters_s),
                        ("store.entries_most", fronts.store.entries_most),
--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -13,6 +13,8 @@
 import os
 import random
 import re
+import socket
+import ssl
 import time
 import zlib
 from collections import Counter, OrderedDict
@@ -23,8 +25,8 @@
 from heapq import heapify, heappop, heappush
 
 from .. import __version__
-from ..config import Config
-from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome
+from ..config import Config, ConfigError
+from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome, Tasks
 from ..gearman.codec import (
     CAN_DO,
     CAN_DO_TIMEOUT,
@@ -80,6 +82,7 @@
 QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
 DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
 TICK_S = 0.5
+HANDSHAKE_S = 3.0  # for a TLS handshake; a plain client on that port is closed by it
 AGAIN_S = 1.0  # a scheduled job that is due and finds no room waits so long
 EXPIRE_EARLY_MS = 5.0  # a job that waits is answered so long before its client's deadline
 TIME_AIMS = 3.0  # a drawn job with more of its class's aims left is no late one
@@ -176,6 +179,8 @@
         self._prefix = f"H:{config.name}:{self._random.getrandbits(24):06x}:".encode()
         self._serial = 0
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._tasks = Tasks(counters)
         self._handlers: dict[asyncio.Task[None], Session] = {}
         self._workers: dict[str, Session] = {}
         self._works: dict[bytes, Work] = {}  # by handle, while they run
@@ -198,8 +203,41 @@
 
     async def open(self) -> None:
         """Listen, where the deploy file names an address."""
-        if self.at is not None:
-            self._server = await asyncio.start_server(self._serve, *self.at, backlog=256)
+        if self.at is None:
+            return
+        context = None
+        if self.set.tls_cert:
+            from ..gearman.tls import context as read
+
+            context = read(self.set)
+        loop = asyncio.get_running_loop()
+        found = await loop.getaddrinfo(*self.at, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        self._socket = socket.create_server(found[0][4][:2], family=found[0][0], backlog=256)
+        await self._listen_on(context)
+
+    async def _listen_on(self, context: ssl.SSLContext | None) -> None:
+        """Serve new connections by this context, on the one listening socket; older sessions go on."""
+        assert self._socket is not None
+        before = self._server
+        self._server = await asyncio.start_server(
+            self._serve, sock=self._socket.dup(), backlog=256, ssl=context,
+            ssl_handshake_timeout=HANDSHAKE_S if context is not None else None)
+        if before is not None:
+            before.close()
+
+    def reload_tls(self) -> None:
+        """Read the certificates again; where one is faulty, those in force stay."""
+        if self.set.tls_cert and self._server is not None:
+            self._tasks.start(self._reload_tls())
+
+    async def _reload_tls(self) -> None:
+        from ..gearman.tls import context as read
+
+        try:
+            await self._listen_on(read(self.set))
+            self.counters.add("gearman.tls_reloaded")
+        except ConfigError as error:
+            self.counters.log("gearman.tls_not_reloaded", str(error))
 
     async def run(self) -> None:
         """Forget ends that have expired and end what outlasts a worker's own time-out."""
@@ -224,8 +262,11 @@
 
     async def close(self) -> None:
         """Give back the listening socket and every session."""
+        await self._tasks.close()
         if self._server is not None:
             self._server.close()
+        if self._socket is not None:
+            self._socket.close()
         for task in list(self._handlers):
             task.cancel()
         if self._handlers:
@@ -254,7 +295,7 @@
         """Packets and text commands, one at a time, until the peer goes or is out of step."""
         reader, writer = session.reader, session.writer
         while True:
-            first = await reader.readexactly(1)
+            first = await self._first(session)
             if first != b"\0":
                 if first != b"\n":
                     line = (first + await reader.readuntil(b"\n")).decode("latin-1").split()
@@ -277,6 +318,22 @@
                 session.send(ERROR, error.code.encode(), str(error).encode())
             await self._drain(writer)
 
+    async def _first(self, session: Session) -> bytes:
+        """The first byte of the next packet or command.
+
+        Guards against peers that vanished without a word and hold a descriptor for ever: a session that has no
+        job out and waits for none ends after ``idle_s``.  A worker that sleeps is not idle: it waits for us.
+        """
+        while True:
+            limit = self.set.idle_s or None
+            try:
+                async with asyncio.timeout(limit):
+                    return await session.reader.readexactly(1)
+            except TimeoutError:
+                if not (session.assigned or session.queue or session.waits_for or session.asleep):
+                    self.counters.add("gearman.idle_closed")
+                    raise
+
     @staticmethod
     async def _drain(writer: asyncio.StreamWriter) -> None:
         async with asyncio.timeout(DRAIN_S):
