--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -99,7 +99,9 @@
             inbound = Inbound(config, core, counters, part=0.5)
             moving = Inbound(config, core, counters, parse_address(config.fronts.address.listen,
                                                                    "address.listen"), address.fence, 0.5)
-    admin = Admin(config.fronts.admin, counters, {"status": lambda: status(config, core, counters, address)})
+    admin = Admin(config.fronts.admin, counters, {"status": lambda: {
+        **status(config, core, counters, address),
+        **({"gearman": gearmen.status()} if config.fronts.gearman.listen else {})}})
     core.ports = {discovery.SOURCE: outbound, gearman.SOURCE: gearmen}
     core.list_port = destinations
     core.peer_port = peers
--- a/gaphub/cli.py
+++ b/gaphub/cli.py
@@ -127,6 +127,10 @@
             when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(move["unix_ms"] / 1000))
             out.append(f"  move    {when} {'gained' if move['gained'] else 'lost'} term {move['term']} "
                        f"({move['why']})")
+    if queues := told.get("gearman"):
+        out.append(f"gearman   {queues['waiting']} jobs wait ({queues['bytes']} bytes), the oldest for "
+                   f"{queues['oldest_ms'] / 1000:.1f} s; {queues['out']} out, {queues['scheduled']} for a moment, "
+                   f"{queues['refused']} refused")
     for r in told.get("routers", ()):
         out.append(f"router    {r['router']} bgp {r['bgp']}, bfd {r['bfd'] or '-'}, "
                    f"{'announced' if r['announced'] else 'not announced'}"
@@ -241,7 +245,7 @@
     """The lab's commands, loaded when one is asked for: they need the extra ``gaphub[lab]``."""
 
     def list_commands(self, context: click.Context) -> list[str]:
-        return ["demo", "explore", "failover", "idle", "up"]
+        return ["demo", "explore", "failover", "gearman", "idle", "up"]
 
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
         if name not in self.list_commands(context):
--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -225,7 +225,7 @@
     queue_most: int = 200_000  # jobs that wait, in all
     queue_function_most: int = 200_000  # of one function
     queue_client_most: int = 100_000  # of one client's session
-    queue_bytes: int = 128_000_000  # of their workloads, names and records
+    queue_bytes: int = 300_000_000  # of their workloads, names and records
 
 
 class StoreFront(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/gaphub/gearman/codec.py
+++ b/gaphub/gearman/codec.py
@@ -18,13 +18,15 @@
 # Submits: priority (0 is served first) and whether the client waits for the end.
 SUBMITS = {SUBMIT_JOB_HIGH: (0, True), SUBMIT_JOB: (1, True), SUBMIT_JOB_LOW: (2, True),
            SUBMIT_JOB_HIGH_BG: (0, False), SUBMIT_JOB_BG: (1, False), SUBMIT_JOB_LOW_BG: (2, False),
-           SUBMIT_JOB_SCHED: (1, False), SUBMIT_JOB_EPOCH: (1, False)}
+           SUBMIT_JOB_SCHED: (1, False), SUBMIT_JOB_EPOCH: (1, False),
+           SUBMIT_REDUCE_JOB: (1, True), SUBMIT_REDUCE_JOB_BG: (1, False)}
 # How many arguments a packet has.
 ARGUMENTS = {
     CAN_DO: 1, CANT_DO: 1, RESET_ABILITIES: 0, PRE_SLEEP: 0, GRAB_JOB: 0, GRAB_JOB_UNIQ: 0, GRAB_JOB_ALL: 0,
     WORK_STATUS: 3, WORK_COMPLETE: 2, WORK_FAIL: 1, GET_STATUS: 1, GET_STATUS_UNIQUE: 1, ECHO_REQ: 1,
     SET_CLIENT_ID: 1, CAN_DO_TIMEOUT: 2, ALL_YOURS: 0, WORK_EXCEPTION: 2, OPTION_REQ: 1, WORK_DATA: 2,
     WORK_WARNING: 2, **dict.fromkeys(SUBMITS, 3), SUBMIT_JOB_SCHED: 8, SUBMIT_JOB_EPOCH: 4,
+    SUBMIT_REDUCE_JOB: 4, SUBMIT_REDUCE_JOB_BG: 4,
 }
 NEWS = {WORK_STATUS: "status", WORK_DATA: "data", WORK_WARNING: "warning", WORK_EXCEPTION: "exception"}
 HEADER = struct.Struct(">4sII")
--- a/gaphub/gearman/queues.py
+++ b/gaphub/gearman/queues.py
@@ -23,7 +23,7 @@
 
 PRIORITIES = 3  # 0 high, 1 normal, 2 low
 AGEING = 8  # draws; one of so many goes to the oldest
-OVERHEAD = 400  # bytes that a waiting job takes besides its workload and names; ``gaphub lab queues`` measures
+OVERHEAD = 1400  # bytes that a waiting job takes besides its workload and names; ``gaphub lab gearman`` measures
 
 
 @dataclass(frozen=True)
@@ -33,7 +33,7 @@
     jobs: int = 200_000
     jobs_function: int = 200_000
     jobs_client: int = 100_000
-    total_bytes: int = 128_000_000
+    total_bytes: int = 300_000_000
 
 
 @dataclass(slots=True, eq=False)
--- a/gaphub/lab/commands.py
+++ b/gaphub/lab/commands.py
@@ -16,6 +16,7 @@
 
 from ..cluster import explore as explorer
 from . import failover as experiment
+from . import gearman as gearman_load
 from .clients import WORTH, Clients
 from .idle import measure
 from .site import Site
@@ -63,8 +64,10 @@
 @click.option("--plain", default=0, help="Beside it, so many kills under the front layer of today.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--frozen", default="0.3,1", show_default=True, help="How long a frozen holder stays so, in s.")
+@click.option("--lease", default=400.0, show_default=True, help="Of the members, in ms; renewals at a quarter.")
 @click.option("--out", type=click.Path(), default="found/failover.json", show_default=True)
-def failover(rounds: int, fault: str, rate: float, plain: int, seed: int, frozen: str, out: str) -> None:
+def failover(rounds: int, fault: str, rate: float, plain: int, seed: int, frozen: str, lease: float,
+             out: str) -> None:
     """Faults at the holder, in rounds: time to the first answer of the new one, and the audit of every job."""
     outcomes: dict[str, experiment.Outcome] = {}
     names = [f for f in experiment.FAULTS if f != "oneway"] if fault == "all" else [fault]
@@ -76,7 +79,7 @@
                           f"{outcome.moved_ms[-1] if outcome.moved_ms else 0:.0f} ms")
 
     for name in names:
-        outcomes[name] = asyncio.run(experiment.run(name, rounds, rate, False, seed, tell, lengths))
+        outcomes[name] = asyncio.run(experiment.run(name, rounds, rate, False, seed, tell, lengths, lease))
         console.print("\n".join(experiment.lines(outcomes[name], name)))
     if plain:
         outcomes["kill, plain front"] = asyncio.run(experiment.run("kill", plain, rate, True, seed, tell))
@@ -100,6 +103,34 @@
         console.print(f"{tree}: ready after {ms:.0f} ms, {mb:.1f} MB resident, {runs} runs")
 
 
+@click.command()
+@click.option("--clients", default="1,16,256", show_default=True)
+@click.option("--jobs", default=8000, show_default=True, help="Of each run.")
+@click.option("--workers", default=8, show_default=True)
+@click.option("--queue", default=100_000, show_default=True, help="Background jobs that wait for nobody.")
+@click.option("--beside", multiple=True, type=click.Path(exists=True), help="Another checkout, without a queue.")
+def gearman(clients: str, jobs: int, workers: int, queue: int, beside: tuple[str, ...]) -> None:
+    """Load on the Gearman front: jobs/s, latency, CPU a job; cost and memory of jobs that wait."""
+    counts = [int(c) for c in clients.split(",")]
+    for tree in beside:
+        asyncio.run(_gearman(counts, jobs, workers, 0, Path(tree).resolve()))
+    asyncio.run(_gearman(counts, jobs, workers, queue, Path(__file__).resolve().parent.parent.parent))
+
+
+async def _gearman(clients: list[int], jobs: int, workers: int, queue: int, tree: Path) -> None:
+    console.print(f"{tree}:")
+    daemon = gearman_load.Daemon(free_port(), free_port(), tree)
+    try:
+        await daemon.open()
+        for count in clients:
+            console.print((await gearman_load.throughput(daemon, count, jobs, workers)).line())
+        marks = sorted({m for m in (1000, 10_000, queue) if m <= queue})
+        for mark, us, size in await gearman_load.waiting(daemon, marks) if queue else []:
+            console.print(f"{mark} jobs wait: {us:.0f} us a submit since the last mark, {size:.0f} bytes a job")
+    finally:
+        daemon.close()
+
+
 def free_port() -> int:
     """A port of loopback that nobody listens on."""
     with socket.socket() as s:
--- a/gaphub/lab/failover.py
+++ b/gaphub/lab/failover.py
@@ -54,9 +54,9 @@
 
 
 async def run(fault: str, rounds: int, rate: float = 60.0, plain: bool = False, seed: int = 1,
-              tell: Any = None, frozen_s: tuple[float, ...] = FROZEN_S[:2]) -> Outcome:
+              tell: Any = None, frozen_s: tuple[float, ...] = FROZEN_S[:2], lease_ms: float = 400.0) -> Outcome:
     """So many rounds of a fault at the holder (with ``plain``: at any daemon) under load."""
-    site = Site(3, plain=plain, seed=seed)
+    site = Site(3, plain=plain, seed=seed, lease_ms=lease_ms)
     outcome = Outcome(fault)
     draw = random.Random(seed)
     faults: list[tuple[float, float, str]] = []
--- a/gaphub/lab/site.py
+++ b/gaphub/lab/site.py
@@ -60,7 +60,9 @@
         """Write its files."""
         site = self.site
         lines = ["[cluster]", f'listen = "{self.ip}:7946"', 'name = "lab"', f"me = {self.number}",
-                 f'keys = "{site.folder / "keys.toml"}"', f'state = "{self.folder / "vote"}"', "moves_most = 0"]
+                 f'keys = "{site.folder / "keys.toml"}"', f'state = "{self.folder / "vote"}"', "moves_most = 0",
+                 f"lease_ms = {site.lease_ms}", f"renew_ms = {site.lease_ms / 4}",
+                 f"ballot_ms = {site.lease_ms * 0.375}"]
         for d in site.daemons:
             at = f"{d.ip}:7946" if d is self else "{}:{}".format(*site.relay.ports[(self.number, d.number)])
             lines += ["[[cluster.members]]", f"id = {d.number}", f'name = "{d.name}"', f'address = "{at}"',
@@ -120,13 +122,14 @@
     """A front layer, an agent, workers, daemons, and the relay between them."""
 
     def __init__(self, daemons: int = 3, witnesses: int = 0, workers: int = 4, plain: bool = False,
-                 seed: int = 1) -> None:
+                 seed: int = 1, lease_ms: float = 400.0) -> None:
         self.draw = random.Random(seed)
         self.net = f"127.{self.draw.randint(10, 250)}.{os.getpid() % 250 + 1}"
         self.front_ip = f"{self.net}.1"
         self.folder = Path(tempfile.mkdtemp(prefix="gaphub-lab-"))
         self.plain = plain
         self.seed = seed
+        self.lease_ms = lease_ms
         self.workers = Workers(WORK_MS, seed)
         self.worker_count = workers
         self.agent = Agent(self.workers.addresses)
--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -57,6 +57,8 @@
     STATUS_RES_UNIQUE,
     SUBMIT_JOB_EPOCH,
     SUBMIT_JOB_SCHED,
+    SUBMIT_REDUCE_JOB,
+    SUBMIT_REDUCE_JOB_BG,
     SUBMITS,
     WORK_COMPLETE,
     WORK_DATA,
@@ -102,6 +104,7 @@
     listeners: list[Session] = field(default_factory=list)
     job: Job | None = None
     waiting: Waiting | None = None  # before the core; None once it was offered
+    reducer: bytes = b""  # the function that a worker of GRAB_JOB_ALL hands its parts to
     client: int = 0  # of a scheduled job: whose it is, and its size in the queues
     size: int = 0
     running: bool = False
@@ -212,7 +215,12 @@
             context = read(self.set)
         loop = asyncio.get_running_loop()
         found = await loop.getaddrinfo(*self.at, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
-        self._socket = socket.create_server(found[0][4][:2], family=found[0][0], backlog=256)
+        # With the protocol named: else asyncio leaves Nagle's algorithm on, which cost 40 ms a job.
+        self._socket = made = socket.socket(*found[0][:3])
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.setblocking(False)
+        made.bind(found[0][4])
+        made.listen(256)
         await self._listen_on(context)
 
     async def _listen_on(self, context: ssl.SSLContext | None) -> None:
@@ -370,12 +378,14 @@
         self.counters.add("gearman.packets")
         if kind in SUBMITS:
             function, unique, *moment, workload = arguments
-            due = None
-            if kind == SUBMIT_JOB_EPOCH:
+            due, reducer = None, b""
+            if kind in (SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BG):
+                reducer = moment[0]
+            elif kind == SUBMIT_JOB_EPOCH:
                 due = epoch(moment[0], time.time())
             elif kind == SUBMIT_JOB_SCHED:
                 due = next_moment(moment, time.time())
-            self._submit(session, kind, function, unique, workload, due)
+            self._submit(session, kind, function, unique, workload, due, reducer)
         elif kind in (GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL):
             await self._grab(session, kind)
         elif kind == PRE_SLEEP:
@@ -424,7 +434,7 @@
         return self.classes.get(name)
 
     def _submit(self, session: Session, kind: int, function: bytes, unique: bytes, workload: bytes,
-                due: float | None = None) -> None:
+                due: float | None = None, reducer: bytes = b"") -> None:
         priority, waits = SUBMITS[kind]
         class_index = self._class_of(function)
         if class_index is None:
@@ -459,7 +469,7 @@
             self.counters.add("requests.fenced")
             raise PacketError("not_holder", "another instance holds the service address; it did not run")
         self._serial += 1
-        work = Work(self._prefix + b"%d" % self._serial, function, unique, priority, not waits)
+        work = Work(self._prefix + b"%d" % self._serial, function, unique, priority, not waits, reducer=reducer)
         now = self.core.clock.now()
         job = Job(f"{self._random.getrandbits(64):016x}", class_index, now,
                   self.core.settings.classes[class_index].deadline_ms, partial(self._answered, work),
@@ -480,7 +490,8 @@
         session.send(JOB_CREATED, work.handle)
         self._listen(session, work, waits)
         self._pump()
-        self._stirred.set()
+        if self.queues.next_expiry() < now + TICK_S * 1000.0:
+            self._stirred.set()
 
     # -- the queues --
 
@@ -541,6 +552,12 @@
             if not self._unstarted[(work.function, work.priority)]:
                 del self._unstarted[(work.function, work.priority)]
 
+    def status(self) -> dict[str, float]:
+        """What ``gaphub status`` shows of the queues."""
+        return {"waiting": self.queues.count, "bytes": self.queues.bytes, "scheduled": len(self.schedule),
+                "oldest_ms": round(self.queues.oldest_ms(self.core.clock.now()), 1),
+                "refused": self.queues.refused, "out": sum(self._out)}
+
     def refuse_waiting(self) -> None:
         """End all that waits: this daemon will not serve it, and none of it ran."""
         for waiting in self.queues.clear():
@@ -603,7 +620,6 @@
         if drawn:
             self._out[work.job.class_index] -= 1
             self._starts(work)
-            self._stirred.set()
         if work.unique:
             self._by_unique.pop(key, None)
             never_twice = self._never_twice(work.job.class_index)
@@ -621,6 +637,8 @@
             session.waits_for.discard(work)
             _tell_end(session, work.handle, answer.ending, answer.body)
         work.listeners.clear()
+        if drawn and self.queues.count:
+            self._pump()  # its place is free
 
     def _trim(self) -> None:
         """Bound the record: results go first, then ends of jobs that may be repeated."""
@@ -708,7 +726,7 @@
         if kind != GRAB_JOB:
             head.append(work.unique if work is not None else b"")
         if kind == GRAB_JOB_ALL:
-            head.append(b"")  # no reducer
+            head.append(work.reducer if work is not None else b"")
         assign = {GRAB_JOB: JOB_ASSIGN, GRAB_JOB_UNIQ: JOB_ASSIGN_UNIQ, GRAB_JOB_ALL: JOB_ASSIGN_ALL}[kind]
         session.send(assign, *head, call.job.body)
         await self.core.post(partial(self.core.started, call))
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -238,6 +238,17 @@
         g2 send 9
         g2 expect #11 (?P<h>H:[^\\x00]*)\\x00any\\x00x
     """,
+    "a reduce job tells its reducer to a worker that asks for all": """
+        g send 37 pos||sum|x
+        g expect #8
+        g2 send 1 pos
+        g2 send 4
+        g2 expect #6
+        g2 send 39
+        g2 expect #40 (?P<h>H:[^\\x00]*)\\x00pos\\x00\\x00sum\\x00x
+        g2 send 13 $h|done
+        g expect #13 .*done
+    """,
     "a waiting job can be cancelled, and its client hears": """
         g send 7 pos||x
         g expect #8 (?P<h>H:\\S*:\\d+)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import socket
 import ssl
 from pathlib import Path
 
@@ -119,6 +121,36 @@
     assert secret.splitlines()[1] not in str(caught.value)
 
 
+# Guards against small packets held back for the other side's ACK: 40 ms a job, seen in the load command.
+def test_sessions_send_small_packets_at_once(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Cast(fronts=FRONTS.format(make(tmp_path))) as cast:
+            to = cast.config.fronts.gearman_at()
+            assert to is not None
+            _, writer = await asyncio.open_connection(*to, ssl=client(tmp_path))
+            seen: list[socket.socket] = []
+            async with asyncio.timeout(5.0):
+                while not seen:
+                    await asyncio.sleep(0.01)
+                    seen = [o for o in gc.get_objects() if isinstance(o, socket.socket) and o.fileno() >= 0
+                            and _port(o) == to[1] and _peer(o)]
+            assert all(s.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for s in seen)
+            writer.close()
+
+    asyncio.run(run())
+
+
+def _port(s: socket.socket) -> int:
+    return int(s.getsockname()[1]) if s.family == socket.AF_INET else 0
+
+
+def _peer(s: socket.socket) -> bool:
+    try:
+        return bool(s.getpeername())
+    except OSError:
+        return False
+
+
 def test_certificates_are_never_written_over(tmp_path: Path) -> None:
     make(tmp_path)
     assert CliRunner().invoke(gaphub, ["key", "cert", "--dir", str(tmp_path)]).exit_code == 2
