A waiting grab asks for the lease too; one set of open ids over both listeners

Need: read over once more, two gaps showed: a job from the service address that waited for a Gearman worker's grab was assigned without asking for the lease, and the same X-Request-ID could be open at both listeners of a daemon.

Change: GRAB_JOB asks before it assigns and ends what may not be written as never run; both listeners share their open ids and the room for bodies.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -99,6 +99,7 @@
             inbound = Inbound(config, core, counters, part=0.5)
             moving = Inbound(config, core, counters, parse_address(config.fronts.address.listen,
                                                                    "address.listen"), address.fence, 0.5)
+            moving.open_ids = inbound.open_ids  # an id that is open at one of them is refused at the other
     admin = Admin(config.fronts.admin, counters, {"status": lambda: {
         **status(config, core, counters, address),
         **({"gearman": gearmen.status()} if config.fronts.gearman.listen else {})}})
--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -711,6 +711,11 @@
     async def _grab(self, session: Session, kind: int) -> None:
         session.asleep = False
         await self._end_excepted(session)
+        while session.queue and not self.core.may_write(session.queue[0][3].job):
+            call = heappop(session.queue)[3]  # its right to be served ended here: nothing of it was written
+            call.over = True
+            self.counters.add("calls.fenced")
+            await self.core.post(partial(self.core.ended, call, Outcome(Status.MOOT)))
         if not session.queue:
             session.send(NO_JOB)
             return
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -620,7 +620,7 @@
         self.fence = fence
         self.classes = {name.encode(): i for i, name in enumerate(config.class_names)}
         self.room = max(1, int(config.limits.sockets * INBOUND_PART * part))
-        self.bodies = int(config.limits.memory_mb * 1e6 * BODIES_PART)  # bytes that bodies may take together
+        self.bodies = int(config.limits.memory_mb * 1e6 * BODIES_PART * part)  # bytes, together
         self.visitors: dict[int, Visitor] = {}
         self.open_ids: set[str] = set()
         self.leaving = False
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -177,6 +177,36 @@
     """)
 
 
+def test_an_id_that_is_open_at_one_listener_is_refused_at_the_other(tmp_path: Path) -> None:
+    play(tmp_path, "holds", "visit c", JOB + """
+        w expect r1
+        c2 send job vyuctovani r1
+        c2 expect HTTP/1.1 409
+        w send lines r1 done=one .
+        c expect HTTP/1.1 200 .*one
+        count calls.sent 1
+    """)
+
+
+def test_a_job_that_waits_for_a_grab_is_not_assigned_after_the_lease(tmp_path: Path) -> None:
+    play(tmp_path, "holds", """
+        d expect index=41
+        d send list 42 changes w=leaving
+        d expect index=42
+        g2 send 1 poloha
+        g2 send 4
+        g send 7 poloha||x
+        g expect #8
+        g2 expect #6
+    """, "lose", """
+        g2 send 9
+        g2 expect #10
+        g expect #14
+        count calls.fenced 1
+        count gearman.assigned 0
+    """)
+
+
 def test_hand_over_at_sigterm_refuses_at_once_and_answers_what_is_out(tmp_path: Path) -> None:
     play(tmp_path, "holds", "visit c", "visit c2", JOB + """
         w expect r1
