--- a/gaphub/gearman/schedule.py
+++ b/gaphub/gearman/schedule.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import calendar
 import datetime
 from heapq import heapify, heappop, heappush
 from typing import Any
@@ -14,7 +15,11 @@
 from .codec import PacketError
 
 AHEAD_MOST_S = 366 * 86400.0  # a moment further ahead is refused
-DAYS_MOST = 8 * 366 + 1  # within so many days every day that exists comes, 29 February too
+# The Gregorian calendar repeats itself, weekdays too, every 400 years (146,097 days, 20,871 weeks): a date and a
+# weekday that do not meet within so many years never meet.
+CYCLE_YEARS = 400
+# The days of each month at most, 29 February counted.
+_MONTH_DAYS = (31, 29, 31, 30, 31, 30, 31, 31, 30, 31, 30, 31)
 # Minute, hour, day of the month, month, day of the week (0: Monday), as the protocol orders them.
 _RANGES = (("minute", 0, 59), ("hour", 0, 23), ("day of month", 1, 31), ("month", 1, 12), ("day of week", 0, 6))
 
@@ -30,9 +35,22 @@
 
 
 def next_moment(fields: list[bytes], now_s: float) -> float:
-    """The next moment that SUBMIT_JOB_SCHED's five fields name, in UTC; an empty field means any.
-
-    PacketError for a field out of its range and for a day that never comes, such as 31 February.
+    """The next moment that SUBMIT_JOB_SCHED's five fields name, in Unix seconds of UTC; an empty field means any.
+
+    The fields are minute (0 to 59), hour (0 to 23), day of the month (1 to 31), month (1 to 12) and day of the
+    week (0 to 6, 0 is Monday), in the order and ranges of the Gearman protocol's description of SUBMIT_JOB_SCHED.
+    That description does not say how a day of the month and a day of the week combine when both are given.  Here
+    every field that is given must hold, so (13, any month, Friday) is a Friday the 13th.  Cron (POSIX crontab)
+    would take a day that fits either of the two; a Gearman job is one moment, not a series, and a client that
+    names both means the day that has both.  The moment is the first whole minute after ``now_s`` that fits.
+
+    Cost: the search steps over years and, within one, over the months and days that the fields leave open.  Over
+    a whole 400-year cycle, a combination that exists comes again within 8 years (29 February), or within 40 where
+    the day, the month and the weekday are all given (then one date a year is looked at).  So at most 41 dates, or
+    at most 9 years of at most 366 dates each, some 3,300 in all; the bound on the loop, 400 years, is never met.
+
+    PacketError for a field out of its range, and for a day that never comes (30 or 31 February, 31 April, June,
+    September or November), or that would come after the year 9999.
     """
     values: list[int | None] = []
     for text, (name, least, most) in zip(fields, _RANGES, strict=True):
@@ -43,16 +61,23 @@
         else:
             values.append(int(text))
     minute, hour, day, month, weekday = values
+    if day is not None and month is not None and day > _MONTH_DAYS[month - 1]:
+        raise PacketError("invalid_packet", "a day that never comes")
     # The next whole minute: a moment that has begun is past.
     first = datetime.datetime.fromtimestamp(int(now_s) // 60 * 60 + 60, datetime.UTC)
-    date = first.date()
-    for n in range(DAYS_MOST):
-        if (day in (None, date.day) and month in (None, date.month) and weekday in (None, date.weekday())):
-            found = _within(first if n == 0 else None, minute, hour)
-            if found is not None:
-                at = datetime.datetime.combine(date, datetime.time(*found), datetime.UTC)
-                return at.timestamp()
-        date += datetime.timedelta(days=1)
+    start = first.date()
+    for year in range(start.year, min(start.year + CYCLE_YEARS, datetime.MAXYEAR) + 1):
+        for in_month in range(1, 13) if month is None else (month,):
+            if (year, in_month) < (start.year, start.month):
+                continue
+            last = calendar.monthrange(year, in_month)[1]
+            for in_day in range(1, last + 1) if day is None else (day,) if day <= last else ():
+                date = datetime.date(year, in_month, in_day)
+                if date < start or weekday not in (None, date.weekday()):
+                    continue
+                found = _within(first if date == start else None, minute, hour)
+                if found is not None:
+                    return datetime.datetime.combine(date, datetime.time(*found), datetime.UTC).timestamp()
     raise PacketError("invalid_packet", "a day that never comes")
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import json
+import os
 import re
 import socket
 import struct
@@ -253,12 +254,26 @@
                 raise AssertionError(f"no such verb: {verb}")
 
 
+# Ports for schedulers that tests start: below the range from which the kernel gives ports to bind(0) and to
+# outbound connections (32768 and up on Linux), so that no connection of another test takes one between the test's
+# choice and the scheduler's bind.  Each process of tests begins at a place of its own.
+PORTS_FROM, PORTS_TO = 20000, 32768
+_next_port = [PORTS_FROM + os.getpid() * 61 % (PORTS_TO - PORTS_FROM)]
+
+
 def free_port() -> int:
-    """A port of loopback that nobody listens on."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
+    """A port of loopback that nobody listens on, for TCP and for UDP, and that this process has not handed out."""
+    for _ in range(PORTS_TO - PORTS_FROM):
+        port = _next_port[0]
+        _next_port[0] = port + 1 if port + 1 < PORTS_TO else PORTS_FROM
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as s:
+                    s.bind(("127.0.0.1", port))
+        except OSError:
+            continue
         return port
+    raise OSError("no free port of loopback below the ephemeral range")
 
 
 def play(text: str, **more: Any) -> None:
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from gaphub.gearman.codec import PacketError, pack, split
@@ -36,11 +36,14 @@
         next_moment([f.encode() for f in fields], NOW)
 
 
-optional = [st.one_of(st.none(), st.integers(a, b)) for a, b in ((0, 59), (0, 23), (1, 28), (1, 12), (0, 6))]
+optional = [st.one_of(st.none(), st.integers(a, b)) for a, b in ((0, 59), (0, 23), (1, 31), (1, 12), (0, 6))]
+NEVER = {(30, 2), (31, 2), (31, 4), (31, 6), (31, 9), (31, 11)}
 
 
 @settings(max_examples=80, deadline=None)
-@given(st.tuples(*optional), st.integers(0, 4_000_000_000))
+@given(st.tuples(*optional).filter(lambda f: (f[2], f[3]) not in NEVER), st.integers(0, 4_000_000_000))
+@example((None, None, 6, 1, 0), 1_041_897_540)  # 6 January on a Monday: 2003 had one, the next is 2014
+@example((0, 0, 29, 2, 3), 1_041_897_540)  # 29 February on a Thursday: 2024, 21 years on
 def test_the_moment_fits_and_lies_ahead(fields: tuple[int | None, ...], now: int) -> None:
     moment = next_moment([b"" if f is None else b"%d" % f for f in fields], now)
     at = datetime.datetime.fromtimestamp(moment, datetime.UTC)
@@ -51,6 +54,38 @@
         assert moment - now <= 3660
 
 
+def first_by_days(fields: tuple[int | None, ...], now: int) -> float:
+    """The same moment found the slow way: every minute of every day from now on, for 41 years."""
+    minute, hour, day, month, weekday = fields
+    date = datetime.datetime.fromtimestamp(now // 60 * 60 + 60, datetime.UTC).date()
+    for _ in range(41 * 366):
+        if day in (None, date.day) and month in (None, date.month) and weekday in (None, date.weekday()):
+            for h in range(24) if hour is None else (hour,):
+                for m in range(60) if minute is None else (minute,):
+                    at = calendar.timegm((date.year, date.month, date.day, h, m, 0))
+                    if at > now:
+                        return float(at)
+        date += datetime.timedelta(days=1)
+    raise AssertionError("no such day in 41 years")
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.tuples(*optional).filter(lambda f: (f[2], f[3]) not in NEVER and None not in f[2:]),
+       st.integers(0, 4_000_000_000))
+@example((0, 0, 29, 2, 0), 4_000_000_000)
+def test_the_moment_is_the_first_that_fits(fields: tuple[int | None, ...], now: int) -> None:
+    moment = next_moment([b"" if f is None else b"%d" % f for f in fields], now)
+    assert moment == first_by_days(fields, now)
+    assert moment - now < 41 * 366 * 86400
+
+
+@pytest.mark.parametrize(("day", "month"), sorted(NEVER))
+def test_days_that_never_come_are_refused(day: int, month: int) -> None:
+    for weekday in (b"", b"0"):
+        with pytest.raises(PacketError, match="never comes"):
+            next_moment([b"0", b"0", b"%d" % day, b"%d" % month, weekday], NOW)
+
+
 @pytest.mark.parametrize("text", [b"", b"x", b"-5", b"1.5", b"9" * 13])
 def test_epochs_that_are_none(text: bytes) -> None:
     with pytest.raises(PacketError):
