Recovery's pure rules: trust by age, origin and epoch; paced joining; cold slow start

After a mass restart every scheduler starts cold at once: all probe and fetch together, all fill the same cold workers, and their first decisions rest on state that may describe a worker's earlier life. These rules come first, without I/O, so that the actors can be built on what is proven.

Change: gaphub/recovery/, pure, not yet used by the daemon (nothing in run changes): - trust.py: a piece of state carries value, time, origin (seen, peer, restored) and the epoch of what it describes. Its weight is 0 for an ended epoch or past its origin's age, falls linearly after a fresh span, and restored state is advice, at most half a fact. Epochs of workers follow the list's ready_at_ms: a later start or a gone is a new life. - pacing.py: a fleet-wide budget of an action per second, each member a token bucket of its part, first action after a jitter from name and seed (blake2b). In any window of t s the fleet sends at most rate * t + members * burst. - slowstart.py: a scheduler's share of a cold worker starts at an eighth of its fair part and grows by one for each good answer (RFC 5681's slow start), errors halve the growth; parts under one request are turns by the schedulers' numbers. The fleet's windows sum to at most what the worker bears; at once at most 2 * ceil(bears) where parts are under one.

--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,151 @@
+"""The rules of coming back: trust by age, origin and epoch; paced joining under a fleet-wide bound."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from gaphub.recovery.pacing import Budget, Pacer, jitter
+from gaphub.recovery.slowstart import ColdShare
+from gaphub.recovery.trust import Ages, Epochs, Learnt, Origin, blend, weight
+
+AGES = Ages()
+origins = st.sampled_from(list(Origin))
+pieces = st.builds(Learnt, st.floats(0, 1e4), st.floats(0, 1e5), origins, st.integers(0, 200), st.integers(1, 3))
+
+
+@given(pieces, st.floats(0, 2e5), st.integers(1, 3))
+def test_weight_is_nothing_for_an_ended_epoch_and_advice_for_what_was_restored(
+        piece: Learnt, now: float, epoch: int) -> None:
+    w = weight(piece, now, epoch, AGES)
+    assert 0.0 <= w <= 1.0
+    if piece.epoch != epoch or now - piece.learnt_ms >= AGES.limit(piece.origin):
+        assert w == 0.0
+    if piece.origin == Origin.RESTORED:
+        assert w <= AGES.advice_weight
+
+
+@given(pieces, st.floats(0, 1e5), st.floats(0, 1e5))
+def test_weight_never_grows_with_age(piece: Learnt, a: float, b: float) -> None:
+    early, late = sorted((piece.learnt_ms + a, piece.learnt_ms + b))
+    assert weight(piece, late, piece.epoch, AGES) <= weight(piece, early, piece.epoch, AGES)
+
+
+@given(st.lists(pieces, max_size=8), st.floats(0, 2e5), st.integers(1, 3), st.floats(0, 1e4))
+def test_blend_stays_within_what_counts_and_ignores_ended_epochs(
+        found: list[Learnt], now: float, epoch: int, prior: float) -> None:
+    value = blend(found, now, epoch, AGES, prior)
+    counted = [p.value for p in found if weight(p, now, epoch, AGES) > 0]
+    assert min([prior, *counted]) - 1e-6 <= value <= max([prior, *counted]) + 1e-6
+    alive = [p for p in found if p.epoch == epoch]
+    assert value == pytest.approx(blend(alive, now, epoch, AGES, prior))
+
+
+def test_advice_alone_pulls_but_a_count_of_an_ended_life_does_not() -> None:
+    restored = Learnt(10.0, 0.0, Origin.RESTORED, 5, 1)
+    assert 0.0 < blend([restored], 0.0, 1, AGES, 0.0) < 10.0
+    assert blend([restored], 0.0, 2, AGES, 0.0) == 0.0
+    seen = Learnt(10.0, 0.0, Origin.SEEN, 0, 1)
+    assert blend([seen], 0.0, 1, AGES, 0.0) > blend([restored], 0.0, 1, AGES, 0.0)
+
+
+def test_ages_that_mean_nothing_are_refused() -> None:
+    for wrong in ({"fresh_ms": -1.0}, {"peer_ms": 500.0}, {"advice_weight": 1.5}):
+        with pytest.raises(ValueError, match=next(iter(wrong))):
+            Ages(**wrong)
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.floats(0, 1e4), st.booleans()), max_size=40))
+def test_an_epoch_ends_only_with_a_later_start_or_a_gone(events: list[tuple[int, float, bool]]) -> None:
+    epochs = Epochs()
+    ready: dict[int, float] = {}
+    lives: dict[int, int] = {}
+    for worker, at, leaves in events:
+        if leaves:
+            epochs.gone(worker)
+            ready.pop(worker, None)
+            assert epochs.epoch(worker) == 0
+            continue
+        before = epochs.epoch(worker)
+        now = epochs.listed(worker, at)
+        if worker in ready and at <= ready[worker]:
+            assert now == before
+        else:
+            assert now == lives.get(worker, 0) + 1
+            lives[worker] = now
+            ready[worker] = at
+
+
+def test_jitter_is_the_same_for_the_same_name_and_spread_over_names() -> None:
+    assert jitter(b"n1", 7, 1000.0) == jitter(b"n1", 7, 1000.0)
+    assert jitter(b"n1", 7, 1000.0) != jitter(b"n1", 8, 1000.0)
+    waits = [jitter(b"n%d" % i, 7, 1000.0) for i in range(140)]
+    assert all(0 <= w < 1000.0 for w in waits)
+    tenths = [sum(1 for w in waits if k * 100 <= w < (k + 1) * 100) for k in range(10)]
+    assert max(tenths) < 3 * 14, tenths
+
+
+@given(st.integers(1, 60), st.floats(1.0, 500.0), st.floats(1.0, 3.0),
+       st.lists(st.tuples(st.floats(0, 5_000), st.integers(0, 59), st.integers(1, 20)), min_size=1, max_size=100),
+       st.integers(0, 2**31))
+def test_a_fleet_that_starts_at_once_keeps_within_its_bound(
+        fleet: int, per_s: float, burst: float, asks: list[tuple[float, int, int]], seed: int) -> None:
+    budget = Budget(per_s, fleet, burst)
+    members = [Pacer(budget, 100.0, b"m%d" % i, seed) for i in range(fleet)]
+    sent: list[float] = []
+    for at, who, times in sorted(asks):  # a member that wants many at once asks many times at one moment
+        member = members[who % fleet]
+        sent += [at for _ in range(times) if member.take(at)]
+    for i, start in enumerate(sent):
+        for end in sent[i:]:
+            window = end - start
+            count = sum(1 for t in sent if start <= t <= end)
+            assert count <= budget.most(window) + 1e-9
+    assert all(t >= 100.0 for t in sent), "nothing before the start"
+
+
+@given(st.floats(1.0, 200.0), st.integers(1, 40), st.floats(0, 1e4))
+def test_next_is_when_a_token_comes(per_s: float, fleet: int, later: float) -> None:
+    pacer = Pacer(Budget(per_s, fleet), 0.0, b"x", 1)
+    at = pacer.next_ms(0.0)
+    assert at == pacer.first_ms
+    assert not pacer.take(at - 1.0) or at < 1.0
+    assert pacer.take(at)
+    again = pacer.next_ms(at + later)
+    assert again >= at + later
+    assert pacer.take(again + 1e-6)
+
+
+@given(st.integers(1, 80), st.floats(0.3, 40.0), st.lists(st.integers(0, 8), min_size=80, max_size=80),
+       st.lists(st.floats(0.05, 1.0), min_size=80, max_size=80))
+@example(10, 20.0, [8] * 80, [1.0] * 80)
+@example(140, 6.0, [8] * 80 + [0] * 60, [1.0] * 140)
+def test_cold_shares_of_a_fleet_never_add_up_to_more_than_the_worker_bears(
+        senders: int, bears: float, grown: list[int], lasts: list[float]) -> None:
+    slot = 100.0
+    shares = [ColdShare(i, senders, bears, slot, float(grown[i % len(grown)])) for i in range(senders)]
+    assert sum(s.window for s in shares) <= bears + 1e-9
+    ends: list[list[float]] = [[] for _ in shares]
+    most = 2 * math.ceil(bears) if bears < senders else bears
+    for step in range(200):
+        now = step * slot / 4
+        for i, share in enumerate(shares):
+            ends[i] = [t for t in ends[i] if t > now]
+            while share.admits(len(ends[i]), now):
+                ends[i].append(now + lasts[i % len(lasts)] * slot)
+        assert sum(len(e) for e in ends) <= most
+
+
+def test_a_cold_share_grows_with_good_answers_and_shrinks_with_errors() -> None:
+    share = ColdShare(0, 10, 40.0, 100.0)
+    assert share.window == pytest.approx(0.5)
+    for _ in range(7):
+        share.answered(True)
+    assert share.window == pytest.approx(share.part) == pytest.approx(4.0)
+    share.answered(False)
+    assert share.window < share.part
+    with pytest.raises(ValueError, match="me"):
+        ColdShare(10, 10, 40.0, 100.0)
