gaphub lab recovery: most schedulers killed at once, time until tries are served

Without a baseline no recovery rule can be shown to help.

Not measured yet: lost or spoilt state (these daemons keep none on disk), cold workers that bear little, and sends on a count of an ended epoch.

--- a/gaphub/lab/commands.py
+++ b/gaphub/lab/commands.py
@@ -18,6 +18,7 @@
 from . import failover as experiment
 from . import fleet as sums
 from . import gearman as gearman_load
+from . import recovery as coming_back
 from .clients import WORTH, Clients
 from .idle import measure
 from .site import Site
@@ -263,3 +264,19 @@
     else:
         return f"{words}: no such fault"
     return f"{what} {named.name}"
+
+
+@click.command()
+@click.option("--schedulers", default=10, show_default=True, help="Processes, 2 to 40.")
+@click.option("--share", default=0.7, show_default=True, help="Of them killed with SIGKILL at once.")
+@click.option("--workers", default=8, show_default=True)
+@click.option("--rate", default=200.0, show_default=True, help="Requests a second over all clients.")
+@click.option("--runs", default=1, show_default=True, help="Runs, each with the next seed.")
+@click.option("--seed", default=1, show_default=True)
+def recovery(schedulers: int, share: float, workers: int, rate: float, runs: int, seed: int) -> None:
+    """Kill most schedulers at once, start them again: time until the served rate is back, and what it cost."""
+    if not 2 <= schedulers <= 40 or not 0 < share <= 1:
+        raise click.BadParameter("schedulers from 2 to 40, a share above 0 and at most 1")
+    for n in range(runs):
+        report = asyncio.run(coming_back.run(schedulers, share, workers, rate, seed=seed + n))
+        console.print(f"seed {seed + n}: {report.line()}")
--- a/gaphub/lab/world.py
+++ b/gaphub/lab/world.py
@@ -30,6 +30,8 @@
         self.ran: Counter[str] = Counter()
         self.classes: dict[str, str] = {}
         self.addresses: list[Address] = []
+        self.running: Counter[Address] = Counter()  # jobs under way, by worker
+        self.peak = 0  # the most under way at one worker at once
         self._draw = random.Random(seed)
         self._servers: list[asyncio.Server] = []
 
@@ -56,7 +58,13 @@
                 ident, cls = headers["x-request-id"], headers["x-priority-class"]
                 self.ran[ident] += 1
                 self.classes[ident] = cls
-                await asyncio.sleep(self.work_ms[cls] * self._draw.uniform(0.7, 1.3) / 1000.0)
+                at = writer.get_extra_info("sockname")[:2]
+                self.running[at] += 1
+                self.peak = max(self.peak, self.running[at])
+                try:
+                    await asyncio.sleep(self.work_ms[cls] * self._draw.uniform(0.7, 1.3) / 1000.0)
+                finally:
+                    self.running[at] -= 1
                 line = json.dumps({"id": ident, "state": "done", "result": f"{ident}:{len(body)}"}) + "\n"
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                              + f"{len(line):x}\r\n{line}\r\n0\r\n\r\n".encode())
