A test of processes: most schedulers killed at once come back, nothing runs twice

Change: `gaphub lab recovery` also counts jobs of never-twice classes that a stand-in worker ran more than once (by request id), and the share of tries served in the last two seconds before the clients stop. A test in tests/test_site.py starts 4 schedulers, kills 3 with SIGKILL at once, starts them again after 0.3 s, and holds: none ran twice, over 0.9 of the last tries served, and the kill was felt (failed tries).

--- a/gaphub/lab/recovery.py
+++ b/gaphub/lab/recovery.py
@@ -22,10 +22,11 @@
 from pathlib import Path
 
 from .clients import Clients, Row
-from .site import SETTINGS, WORK_MS
+from .site import CLASSES, SETTINGS, WORK_MS
 from .world import Agent, Workers
 
 BUCKET_S = 0.25  # the served rate is counted in buckets of so long
+NEVER_TWICE = frozenset(c["name"] for c in CLASSES if c["idempotency"] == "at_most_once")
 WITHIN = 0.05  # back to full service: the rate over a second within this share of the warm rate
 
 
@@ -89,13 +90,15 @@
     failed: int
     tries: int
     peak_at_a_worker: int
+    twice: int  # jobs of a never-twice class that a worker ran more than once: must be 0
+    served_at_end: float  # the share of tries served in the last two seconds before the clients stopped
 
     def line(self) -> str:
         """One line for the console."""
         back = "not back" if math.isinf(self.back_after_s) else f"back after {self.back_after_s:.2f} s"
         return (f"{self.killed} of {self.schedulers} killed: {back} (warm {self.warm_per_s:.0f}/s), "
                 f"p99 {self.p99_ms:.0f} ms meanwhile, {self.refused} refused and {self.failed} failed of "
-                f"{self.tries} tries, peak {self.peak_at_a_worker} at one worker")
+                f"{self.tries} tries, peak {self.peak_at_a_worker} at one worker, {self.twice} ran twice")
 
 
 async def run(schedulers: int = 10, share: float = 0.7, workers: int = 8, rate: float = 200.0,
@@ -126,6 +129,7 @@
         for s in victims:
             s.start()
         await asyncio.sleep(after_s)
+        stopped_at = time.monotonic()
         for c in clients:
             c.rate = 0.0
         await asyncio.gather(*(c.drain(5.0) for c in clients))
@@ -138,7 +142,11 @@
         pool.close()
         shutil.rmtree(folder, ignore_errors=True)
     rows = [r for c in clients for r in c.rows]
-    return _report(rows, began, killed_at, schedulers, len(victims), pool.peak)
+    report = _report(rows, began, killed_at, schedulers, len(victims), pool.peak)
+    report.twice = sum(1 for ident, n in pool.ran.items() if n > 1 and pool.classes[ident] in NEVER_TWICE)
+    end = [r for r in rows if stopped_at - 2.0 <= r.sent < stopped_at]
+    report.served_at_end = sum(1 for r in end if r.ending == 200) / max(1, len(end))
+    return report
 
 
 def _report(rows: list[Row], began: float, killed_at: float, schedulers: int, killed: int, peak: int) -> Report:
@@ -164,7 +172,7 @@
     p99 = during[min(len(during) - 1, int(0.99 * len(during)))] if during else 0.0
     return Report(schedulers, killed, warm_per_s, back, p99,
                   sum(1 for r in after if r.ending in (429, 503)),
-                  sum(1 for r in after if r.ending not in (200, 429, 503)), len(after), peak)
+                  sum(1 for r in after if r.ending not in (200, 429, 503)), len(after), peak, 0, 0.0)
 
 
 def _free_port() -> int:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -11,7 +11,7 @@
 
 from gaphub import config
 from gaphub.cluster import keyring, node
-from gaphub.lab import failover
+from gaphub.lab import failover, recovery
 from gaphub.lab.site import Site
 
 from .test_address import members, until
@@ -105,3 +105,12 @@
                            capture_output=True, text=True, timeout=30, check=False)
     assert ended.returncode == 2
     assert "none" in ended.stderr
+
+
+def test_most_schedulers_killed_at_once_come_back_and_nothing_runs_twice() -> None:
+    report = asyncio.run(recovery.run(schedulers=4, share=0.75, workers=4, rate=60.0, warm_s=2.0, down_s=0.3,
+                                      after_s=4.0, seed=3))
+    assert report.killed == 3
+    assert report.twice == 0, "a try of a killed scheduler must not run again under the same id"
+    assert report.served_at_end > 0.9, "the restarted ones serve again"
+    assert report.failed > 0, "the kill was felt: tries to the dead ones failed"
