Lab: one place starts a gaphub process and one picks a free port

Change: gaphub/lab/site.py has start_gaphub(folder, name, words) and free_port(); Site's daemons, the recovery experiment and the lab commands call them. Nothing else changes.

--- a/gaphub/lab/commands.py
+++ b/gaphub/lab/commands.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import sys
 import time
 from pathlib import Path
@@ -21,7 +20,7 @@
 from . import recovery as coming_back
 from .clients import WORTH, Clients
 from .idle import measure
-from .site import Site
+from .site import Site, free_port
 
 console = Console(highlight=False)
 
@@ -146,14 +145,6 @@
         daemon.close()
 
 
-def free_port() -> int:
-    """A port of loopback that nobody listens on."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
-        return port
-
-
 async def _table(site: Site, clients: Clients, since: float) -> Table:
     rows = [r for r in clients.rows if r.sent > time.monotonic() - 2.0]
     table = Table(title=f"site on {site.net}.0, {time.monotonic() - since:.0f} s")
--- a/gaphub/lab/recovery.py
+++ b/gaphub/lab/recovery.py
@@ -11,18 +11,15 @@
 import asyncio
 import json
 import math
-import os
 import shutil
-import socket
 import subprocess
-import sys
 import tempfile
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
 from .clients import Clients, Row
-from .site import CLASSES, SETTINGS, WORK_MS
+from .site import CLASSES, SETTINGS, WORK_MS, free_port, start_gaphub
 from .world import Agent, Workers
 
 BUCKET_S = 0.25  # the served rate is counted in buckets of so long
@@ -47,14 +44,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"), "LB_NAME": self.name,
-               "LB_FRONTS": str(self.folder / "fronts.toml"),
-               "PYTHONPATH": str(Path(__file__).resolve().parent.parent.parent)}
-        for name in ("LB_LISTEN", "LB_DISCOVERY"):
-            env.pop(name, None)
-        with open(self.folder / "log", "ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "gaphub"], env=env, stdout=log, stderr=log,
-                                            stdin=subprocess.DEVNULL)
+        self.process = start_gaphub(self.folder, self.name, [])
 
     def kill(self) -> None:
         """SIGKILL, and wait for its end."""
@@ -109,7 +99,7 @@
     await pool.open(workers)
     agent = Agent(pool.addresses)
     await agent.open()
-    ports = [_free_port() for _ in range(schedulers)]
+    ports = [free_port() for _ in range(schedulers)]
     fleet = [Scheduler(folder, i, schedulers, ports[i], agent) for i in range(schedulers)]
     clients = [Clients(("127.0.0.1", s.port), rate / schedulers, seed + i) for i, s in enumerate(fleet)]
     try:
@@ -173,11 +163,3 @@
     return Report(schedulers, killed, warm_per_s, back, p99,
                   sum(1 for r in after if r.ending in (429, 503)),
                   sum(1 for r in after if r.ending not in (200, 429, 503)), len(after), peak, 0, 0.0)
-
-
-def _free_port() -> int:
-    """A port of loopback that nobody listens on now."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
-        return port
--- a/gaphub/lab/site.py
+++ b/gaphub/lab/site.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,29 @@
 READY_S = 15.0
 
 
+def start_gaphub(folder: Path, name: str, words: list[str]) -> subprocess.Popen[bytes]:
+    """Start ``python -m gaphub WORDS`` with the ``config.json`` and ``fronts.toml`` of its folder.
+
+    It logs to ``log`` there.  The caller owns the process and ends it.
+    """
+    env = {**os.environ, "LB_CONFIG": str(folder / "config.json"), "LB_NAME": name,
+           "LB_FRONTS": str(folder / "fronts.toml"),
+           "PYTHONPATH": str(Path(__file__).resolve().parent.parent.parent)}
+    for variable in ("LB_LISTEN", "LB_DISCOVERY"):
+        env.pop(variable, None)
+    with open(folder / "log", "ab") as log:
+        return subprocess.Popen([sys.executable, "-m", "gaphub", *words], env=env, stdout=log, stderr=log,
+                                stdin=subprocess.DEVNULL)
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on now."""
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        port: int = s.getsockname()[1]
+        return port
+
+
 class Daemon:
     """One gaphub process, or a witness."""
 
@@ -87,14 +111,7 @@
     def start(self) -> None:
         """Start the process."""
         words = ["witness", "--config", str(self.folder / "fronts.toml")] if self.witness else []
-        env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"), "LB_NAME": self.name,
-               "LB_FRONTS": str(self.folder / "fronts.toml"),
-               "PYTHONPATH": str(Path(__file__).resolve().parent.parent.parent)}
-        for name in ("LB_LISTEN", "LB_DISCOVERY"):
-            env.pop(name, None)
-        with open(self.folder / "log", "ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "gaphub", *words], env=env, stdout=log,
-                                            stderr=log, stdin=subprocess.DEVNULL)
+        self.process = start_gaphub(self.folder, self.name, words)
 
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
