Recovery report: all figures made in one place, none patched in afterwards

Cause: run() built the report with placeholders for the never-twice count and the share served at the end, then overwrote both fields; the figures of one run were made in two places.

Change: _report takes the workers and the three moments (clients began, kill, clients stopped) and makes every field; run() only gathers them.

--- a/gaphub/lab/recovery.py
+++ b/gaphub/lab/recovery.py
@@ -132,19 +132,18 @@
         pool.close()
         shutil.rmtree(folder, ignore_errors=True)
     rows = [r for c in clients for r in c.rows]
-    report = _report(rows, began, killed_at, schedulers, len(victims), pool.peak)
-    report.twice = sum(1 for ident, n in pool.ran.items() if n > 1 and pool.classes[ident] in NEVER_TWICE)
-    end = [r for r in rows if stopped_at - 2.0 <= r.sent < stopped_at]
-    report.served_at_end = sum(1 for r in end if r.ending == 200) / max(1, len(end))
-    return report
+    return _report(rows, pool, (began, killed_at, stopped_at), schedulers, len(victims))
 
 
-def _report(rows: list[Row], began: float, killed_at: float, schedulers: int, killed: int, peak: int) -> Report:
+def _report(rows: list[Row], pool: Workers, moments: tuple[float, float, float], schedulers: int,
+            killed: int) -> Report:
     """The figures of one run from the clients' rows.
 
     Full service is a share of tries served within ``WITHIN`` of the warm share; it is back after the last bucket
-    of tries, sent after the kill, that falls short of it.
+    of tries, sent after the kill, that falls short of it.  ``moments``: when the clients began, the kill, and
+    when the clients stopped, on the monotonic clock.
     """
+    began, killed_at, stopped_at = moments
     warm = [r for r in rows if began + 1.0 <= r.sent < killed_at]
     warm_share = sum(1 for r in warm if r.ending == 200) / max(1, len(warm))
     warm_per_s = sum(1 for r in warm if r.ending == 200) / max(1e-9, killed_at - began - 1.0)
@@ -160,6 +159,9 @@
     until = killed_at + (back if not math.isinf(back) else max(buckets, default=0) * BUCKET_S) + BUCKET_S
     during = sorted(1000.0 * r.took for r in rows if killed_at <= r.sent < until)
     p99 = during[min(len(during) - 1, int(0.99 * len(during)))] if during else 0.0
+    end = [r for r in rows if stopped_at - 2.0 <= r.sent < stopped_at]
     return Report(schedulers, killed, warm_per_s, back, p99,
                   sum(1 for r in after if r.ending in (429, 503)),
-                  sum(1 for r in after if r.ending not in (200, 429, 503)), len(after), peak, 0, 0.0)
+                  sum(1 for r in after if r.ending not in (200, 429, 503)), len(after), pool.peak,
+                  sum(1 for ident, n in pool.ran.items() if n > 1 and pool.classes[ident] in NEVER_TWICE),
+                  sum(1 for r in end if r.ending == 200) / max(1, len(end)))
