--- a/gaphub/gearman/schedule.py
+++ b/gaphub/gearman/schedule.py
@@ -18,8 +18,7 @@
 # The Gregorian calendar repeats itself, weekdays too, every 400 years (146,097 days, 20,871 weeks): a date and a
 # weekday that do not meet within so many years never meet.
 CYCLE_YEARS = 400
-# The days of each month at most, 29 February counted.
-_MONTH_DAYS = (31, 29, 31, 30, 31, 30, 31, 31, 30, 31, 30, 31)
+LEAP_YEAR = 2000  # its months have as many days as they ever have
 # Minute, hour, day of the month, month, day of the week (0: Monday), as the protocol orders them.
 _RANGES = (("minute", 0, 59), ("hour", 0, 23), ("day of month", 1, 31), ("month", 1, 12), ("day of week", 0, 6))
 
@@ -61,7 +60,7 @@
         else:
             values.append(int(text))
     minute, hour, day, month, weekday = values
-    if day is not None and month is not None and day > _MONTH_DAYS[month - 1]:
+    if day is not None and month is not None and day > calendar.monthrange(LEAP_YEAR, month)[1]:
         raise PacketError("invalid_packet", "a day that never comes")
     # The next whole minute: a moment that has begun is past.
     first = datetime.datetime.fromtimestamp(int(now_s) // 60 * 60 + 60, datetime.UTC)
