Headers of the client's are passed on: workers know repeats by them

Method, target, body and id were the same. Ruled out: the body's bytes (compared), the chunked form (a length came).

Now all headers of the client's but those of one hop, and those a scheduler words itself, reach the worker as they came. The way not taken: that one header by name, which would be one deployment's.

Test: "headers are passed on as they came"; without the change it fails at "same $head Idempotency-Key: 5f0e".

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -123,6 +123,7 @@
     slots: float = 1.0
     memory: float = 0.0
     is_retry: bool = False
+    passed: tuple[tuple[bytes, bytes], ...] = ()  # further headers that a worker gets as they came
     news: Callable[[str, tuple[bytes, ...]], None] | None = None  # what its front wants to hear meanwhile
     front: object = None  # the front's own record of it
     told_ms: float = 0.0  # what the Balancer is told is left; 0: what is left
--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -151,7 +151,7 @@
             if self._wire is None or not self._wire.reusable:
                 self._drop()
                 self._wire = await Wire.connect(self.agent, CALL_S)
-            await self._wire.send("GET", target, [("Host", f"{self.agent[0]}:{self.agent[1]}")], b"")
+            await self._wire.send("GET", target, [(b"Host", f"{self.agent[0]}:{self.agent[1]}".encode())], b"")
             event = await self._wire.event()
             body = await self._wire.body(16 * 1024 * 1024)
         if event.status_code != 200:
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -23,6 +23,7 @@
 from ..interface import Effect, Status
 from ..metrics import Counters
 
+Header = tuple[bytes, bytes]
 BODY_MOST = 64 * 1024
 LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
 READ = 64 * 1024
@@ -128,11 +129,11 @@
         """Whether another request may be written."""
         return not (self.reader.at_eof() or self.writer.transport.is_closing())
 
-    async def send(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> None:
+    async def send(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> None:
         """Write a whole request; NeverWrittenError if its last byte did not leave."""
         await self._write(self._render(method, target, headers, body))
 
-    async def begin(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
+    async def begin(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> bytes:
         """Write a request but for its last byte, which is given back for ``finish``, and wait a moment.
 
         Guards against connections that the other side resets when the next request comes: written in one
@@ -157,7 +158,7 @@
         """Write a request's last byte."""
         await self._write(last)
 
-    def _render(self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
+    def _render(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> bytes:
         if self.used:
             self.http.start_next_cycle()
         self.used = True
@@ -277,7 +278,7 @@
         self.idle_ms = config.conn_idle_ms * IDLE_PART
         self.sockets = int(config.limits.sockets * OUTBOUND_PART)
         self.report_fields = config.report_fields
-        self.service = f"{config.listen[0]}:{config.listen[1]}"
+        self.service = f"{config.listen[0]}:{config.listen[1]}".encode()
         self.stale = 0.0  # the share of kept connections that end under the next request
         self.pools: dict[Address, Pool] = {}
         self._tasks = Tasks(counters)
@@ -340,7 +341,7 @@
             async with asyncio.timeout(PROBE_S):
                 wire = await pool.take()
                 status = Status.RESET
-                await wire.send("GET", "/-/load", [("Host", self.service)], b"")
+                await wire.send("GET", "/-/load", [(b"Host", self.service)], b"")
                 event = await wire.event()
                 body = await wire.body()
                 if isinstance(event, h11.Response):
@@ -452,9 +453,9 @@
     async def _begin(self, call: Call, wire: Wire) -> bytes:
         job = call.job
         left = max(1, int(call.ends - self.core.clock.now()))
-        headers = [("Host", self.service), ("X-Request-ID", job.ident), ("X-Timeout", f"{left}m"),
-                   ("X-Priority-Class", self.core.class_names[job.class_index]),
-                   ("Content-Length", str(len(job.body)))]
+        headers = [(b"Host", self.service), (b"X-Request-ID", job.ident.encode()), (b"X-Timeout", b"%dm" % left),
+                   (b"X-Priority-Class", self.core.class_names[job.class_index].encode()),
+                   (b"Content-Length", b"%d" % len(job.body)), *job.passed]
         try:
             return await wire.begin(job.method, job.target, headers, job.body)
         except h11.LocalProtocolError as error:
@@ -531,6 +532,10 @@
 _IDENT = re.compile(rb"[!-~]{1,128}")
 _ONCE = (b"x-request-id", b"x-priority-class", b"x-timeout", b"x-attrs", b"x-retried", b"content-length",
          b"transfer-encoding")
+# Headers of one hop, and those that a scheduler words itself; all others a worker gets as the client sent them.
+_OWN = frozenset((b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
+                  b"expect", b"content-length", b"transfer-encoding", b"x-request-id", b"x-priority-class",
+                  b"x-timeout"))
 _LENGTHS = re.compile(rb"^(?:content-length|transfer-encoding)[ \t]*:", re.I | re.M)
 _ANSWERS = {Ending.SERVED: 200, Ending.REFUSED: 503, Ending.FAILED: 502}
 
@@ -576,7 +581,20 @@
             extras[name] = float(value)
     return Job(ident.decode(), class_index, received_at, left_ms - TRAVEL_MS, reply, body,
                event.method.decode(), event.target.decode(), parse_key(headers.get(b"cookie", b"")),
-               extras["slots"] or 1.0, extras["memory"], headers.get(b"x-retried") == b"1")
+               extras["slots"] or 1.0, extras["memory"], headers.get(b"x-retried") == b"1",
+               passed=passed_on(event))
+
+
+def passed_on(event: h11.Request) -> tuple[Header, ...]:
+    """The headers that a worker gets as they came.
+
+    Guards against repeats that a worker cannot know as such: it drops them by an ``Idempotency-Key``, which
+    clients of classes with that effect send.
+    """
+    hop = {name.strip().lower() for key, value in event.headers if key == b"connection"
+           for name in value.split(b",")}
+    return tuple((name, value) for name, value in event.headers.raw_items()
+                 if name.lower() not in _OWN and name.lower() not in hop)
 
 
 def parse_key(cookie: bytes) -> int:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
             ``o``, ``o2`` ... are operators at the admin address (where ``admin`` is given)
     expect  a regular expression in what the actor has received since its last expect; ``#N`` at its
             start stands for the head of a Gearman packet of type N, a named group is kept as ``$NAME``
+    same    a kept name holds a regular expression (``same $NAME PATTERN``); ``lacks``: it does not
     close   end the connection; ``expect-close`` waits until the other side does
     early   before ``send`` or ``close`` of a worker: before the request's last byte has come, else after it
     next    a listening actor turns to its next connection and leaves the current one open
@@ -246,6 +247,10 @@
                     kind, _, rest = rest[1:].partition(" ")
                     rest = f"\\x00RES\\x00\\x00\\x00\\x{int(kind):02x}.{{4}}{rest}"
                 self.kept |= await side.expect(rest)
+            elif verb in ("same", "lacks"):
+                kept, _, pattern = rest.partition(" ")
+                found = re.search(pattern, self.kept[kept[1:]], re.I | re.S)
+                assert bool(found) == (verb == "same"), self.kept[kept[1:]]
             elif verb == "expect-close":
                 await side.end()
             elif verb == "next":
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,6 +18,16 @@
         w send lines r1 started done=hello .
         c expect 200 .*Content-Length: 5.*hello
     """,
+    # Guards against workers that do not know a repeat as one: they drop it by a header of the client's.
+    "headers are passed on as they came, but for those of one hop and our own": """
+        c send job poloha r1 body1 Idempotency-Key:5f0e X-Retried:1 TE:gzip Connection:x-hop X-Hop:7 X-Timeout:900m
+        w expect (?P<head>POST .*body1)
+        w same $head Idempotency-Key: 5f0e
+        w same $head X-Retried: 1
+        w lacks $head x-hop|gzip|900m
+        w send lines r1 started done=ok .
+        c expect 200 .*ok
+    """,
     "connections are used again on both sides": """
         c send job poloha r1
         w expect r1
