Attempts, copies and repeats by the settings alone; a call that waited is looked at again

The settings alone give the number. The test that held four whatever they say was wrong; in its place the number is held for settings of 1, 2, 3, 5 and 6, also against a Balancer that asks for more. - core: a second copy was refused where the settings allow it, and not counted: the Balancer's next attempt bore another number here, so its outcome was told of an attempt that had ended, and the request waited for its deadline. Copies are allowed by the settings, two at most, and an attempt that is not allowed keeps its number. - policy: with copies allowed it sent up to four at once; "a request may have two attempts out together". Two tests took three for granted; they now hold exactly two, and that a third comes only when one of two has ended. - core: a class whose repeats workers drop was held to its group and window by the Balancer alone; now also here. - http: a call that waited for its connection was written though its worker had meanwhile been told to drain, gone or started anew. The core is asked before the first byte (such a call never ran and goes elsewhere) and before the last (fence, client, window). - http: a call called off before its task's first step had no outcome: its body never ran, so the request stayed open for ever. Now the port gives the outcome itself. - http: a connection idle for longer than half the settings' time was used again until the reaper's next round, up to a second later; at an idle time of a second or two its machine has closed it. - http: a deadline that passed while the last byte was being handed over ended as "could not connect", never ran; now it is a time-out, which may have run. - http: a client that sends over 64 KiB past its request was no longer looked at; a request sent ahead was offered though its client had gone; a half-read request and a half-taken answer were cut off when leaving; a client that connected just before the end was reset.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -22,6 +22,7 @@
 from .interface import (
     NEVER_RAN,
     Effect,
+    Group,
     ListedWorker,
     ListKind,
     Request,
@@ -37,7 +38,7 @@
 from .ops.retune import first, follow, settings_for
 
 MAILBOX = 4096  # messages; requests past it are refused, everything else waits for room
-MOST_ATTEMPTS = 4  # a bound of the platform, whatever the settings say
+COPIES = 2  # attempts of a request that may be out together where the settings allow second copies
 CANCEL_AGAIN_S = 0.5  # a task that is to end and has not by then is cancelled once more
 EVER_MOST = 65_536  # ids of destinations that were once listed; the longest unlisted is forgotten
 EARLY_MS = 2.0  # the watchdog answers this long before a deadline that the Balancer let come
@@ -128,6 +129,7 @@
     front: object = None  # the front's own record of it
     told_ms: float = 0.0  # what the Balancer is told is left; 0: what is left
     fence: Fence | None = None  # what must hold while it is taken and sent; None: nothing
+    left: Callable[[], bool] | None = None  # whether its client is known to have left; None: nobody can tell
     number: int = 0
     ends: float = 0.0
     most_calls: int = 0  # as the settings allowed when it was taken
@@ -164,6 +166,9 @@
     said: int = WorkerState.READY  # its state as its source says
 
 
+NOWHERE = Destination(0, "", Listed("", "", WorkerState.GONE))  # of a call that was not allowed
+
+
 @dataclass(slots=True)
 class Call:
     """One attempt.  ``over`` is set by its port when the outcome is fixed."""
@@ -178,6 +183,8 @@
     timed_out: bool = False
     took_ms: float = 0.0
     status: Status | None = None
+    begun: bool = False  # set by its port when it first works on it
+    to: Listed | None = None  # its destination as it was listed when it was sent
 
     @property
     def never_ran(self) -> bool:
@@ -506,6 +513,8 @@
         now = self.clock.now()
         call.took_ms = now - call.sent_at
         self.counters.add(f"calls.{outcome.status.name.lower()}")
+        if self._left(job):
+            self.gone(job)  # before the Balancer may choose a retry that nobody waits for
         if outcome.status == Status.OK:
             self._answer(job, Answer(Ending.SERVED, outcome.body))
         sound = self._guard(lambda: self.balancer.on_outcome(
@@ -524,14 +533,51 @@
             return None
         if not destination.listed.able >> job.class_index & 1:
             return None
-        if job.answered or job.open_calls or now >= job.ends:
+        if job.answered or now >= job.ends or self._left(job):
             return None
-        if len(job.calls) >= min(MOST_ATTEMPTS, job.most_calls):
+        if job.open_calls >= (COPIES if self.settings.second_copies else 1) or len(job.calls) >= job.most_calls:
             return None
-        effect = self.settings.classes[job.class_index].effect
-        if effect == Effect.UNSAFE and not all(c.never_ran for c in job.calls):
-            return None
-        return destination
+        return destination if self._harmless_at(job, destination, now) else None
+
+    @staticmethod
+    def _left(job: Job) -> bool:
+        return job.left is not None and job.left()
+
+    def _harmless_at(self, job: Job, destination: Destination, now: float, but: Call | None = None) -> bool:
+        """Whether the job may run at a destination, by what its calls so far, all but one, may have run."""
+        cls = self.settings.classes[job.class_index]
+        before = [] if cls.effect == Effect.SAFE else [c for c in job.calls if c is not but and not c.never_ran]
+        if not before or cls.effect == Effect.UNSAFE:
+            return not before
+        at, first = destination.listed, min(c.sent_at for c in before)
+        others = [c.to or c.destination.listed for c in before]
+        same = (cls.group == Group.ALL
+                or cls.group == Group.ZONE and all(o.zone == at.zone for o in others)
+                or cls.group == Group.CELL and all(o.cell == at.cell for o in others))
+        return same and now - first < cls.window_ms
+
+    def may_go_on(self, call: Call) -> Status | None:
+        """Asked by a port before the first byte of a call: None if it may be written, else why not.
+
+        Guards against what happens while a call waits for its connection: its worker drains, goes or is
+        restarted, its client leaves, the window in which a repeat is harmless ends.
+        """
+        listed, at = call.destination.listed, call.to or call.destination.listed
+        if listed.state != WorkerState.READY or (listed.addr, listed.started_ms) != (at.addr, at.started_ms):
+            self.counters.add("calls.overtaken")
+            return Status.FULL
+        return self.may_end(call)
+
+    def may_end(self, call: Call) -> Status | None:
+        """Asked again before the last byte: a drain does not count any more, as the call has begun."""
+        if not self.may_write(call.job):
+            self.counters.add("calls.fenced")
+            return Status.MOOT
+        if call.job.answered or self._left(call.job) or not self._harmless_at(
+                call.job, call.destination, self.clock.now(), call):
+            self.counters.add("calls.pointless")
+            return Status.MOOT
+        return None
 
     # -- the Balancer's actions --
 
@@ -547,12 +593,18 @@
         destination = self._allowed(job, worker, now)
         if destination is None:
             self.counters.log("calls.not_allowed", job.ident)
-            index = len(job.calls)
+            call = Call(job, len(job.calls), self._destinations.get(worker) or NOWHERE, now, now)
+            call.status = Status.MOOT
+            # It has a number at the Balancer, so it has one here: else the outcomes of later ones are
+            # told under the numbers of others.
+            job.calls.append(call)
+            if self._left(job):
+                self._later.append(partial(self.gone, job))  # its front has yet to say so
             self._later.append(lambda: self.balancer.on_outcome(
-                now, request, index, Status.MOOT, 0.0, job.answered, ()))
+                now, request, call.index, Status.MOOT, 0.0, job.answered, ()))
             return
         ends = min(job.ends, now + timeout_ms) if timeout_ms > 0 else job.ends
-        call = Call(job, len(job.calls), destination, now, ends)
+        call = Call(job, len(job.calls), destination, now, ends, to=destination.listed)
         job.calls.append(call)
         job.open_calls += 1
         self.counters.add("calls.sent")
--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -860,7 +860,7 @@
         if job.over or len(job.attempts) >= self.set.max_attempts or now >= job.ends - self.set.tick_ms:
             return False
         effect = job.cls.effect
-        if job.open and (effect == Effect.UNSAFE or not self.set.second_copies):
+        if job.open > 1 or (job.open and (effect == Effect.UNSAFE or not self.set.second_copies)):
             return False
         if effect == Effect.SAFE or (job.ran_group is None and not job.open):
             return True
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -38,6 +38,9 @@
 TAKE_S = 10.0  # for a client to take an answer
 LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
 LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
+# A client that has sent BODY_MOST past its open request is read on, so that its leaving is seen behind what it
+# sent, but what comes is dropped: a chunk in so long, over all such clients together.
+DROP_S = 0.001
 HOLD_S = 0.004  # a job's last byte is held back for so long; a connection that is dead shows it by then
 # Workers may end a kept connection when the next request has come in whole, and then that may have run.
 # A never-twice job takes a new connection while more than this share of the kept ones ends so.
@@ -68,8 +71,12 @@
     """The request's last byte was not written."""
 
 
-class FencedError(NeverWrittenError):
-    """The request's right to be served ended before its last byte was written."""
+class StoppedError(Exception):
+    """The core's rules stopped a call before its last byte was written; ``status``: what it ends in."""
+
+    def __init__(self, status: Status) -> None:
+        super().__init__(status.name)
+        self.status = status
 
 
 class EarlyAnswerError(NeverWrittenError):
@@ -231,7 +238,9 @@
         """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
         while self.idle and not fresh:
             wire = self.idle.pop()
-            if wire.usable:
+            # Guards against settings whose idle time is no longer than the pause between two rounds of the
+            # reaper: the worker's machine has closed such a connection, or is about to.
+            if wire.usable and wire.idle_since >= self.owner.core.clock.now() - self.owner.idle_ms:
                 return wire
             self.drop(wire)
         if self.owner.sockets <= 0:
@@ -363,13 +372,22 @@
         """Begin a call."""
         self._calls[id(call)] = self._tasks.start(self._call(call, self._pool(call.destination)))
 
-    def cancel(self, call: Call) -> None:
-        """Stop waiting for a call."""
+    def cancel(self, call: Call) -> Outcome | None:
+        """Stop waiting for a call; its outcome if it has not begun."""
         task = self._calls.get(id(call))
-        if task is not None and not call.over:
-            task.cancel()
+        if task is None or call.over:
+            return None
+        task.cancel()
+        if call.begun:
+            return None
+        # A task that is cancelled before its first step never runs its body, so nobody else would tell the
+        # core of the end, and the request would stay open for ever.
+        del self._calls[id(call)]
+        call.over = True
+        return Outcome(Status.CANCELLED)
 
     async def _call(self, call: Call, pool: Pool) -> None:
+        call.begun = True
         wire: Wire | None = None
         outcome = Outcome(Status.CANCELLED)  # if it is called off before it could begin
         try:
@@ -378,7 +396,7 @@
                 while not call.written:
                     wire = await pool.take(self._once(call) and self.stale > STALE)
                     kept = wire.used
-                    self._fence(call)
+                    self._ask(self.core.may_go_on(call))
                     try:
                         last = await self._begin(call, wire)
                     except NeverWrittenError as error:
@@ -392,16 +410,17 @@
                             outcome.status = Status.FULL if early.status == Status.FULL else outcome.status
                             outcome.report = early.report
                         raise
-                    self._fence(call)
+                    self._ask(self.core.may_end(call))
                     call.written = True
+                    outcome.status = Status.RESET  # a deadline that passes from here on: it may have run
                     try:
                         await wire.finish(last)
                     except NeverWrittenError:
                         call.written = False
+                        outcome.status = Status.CONNECT_FAILED
                         raise
                     self.core.written(call)
                 assert wire is not None
-                outcome.status = Status.RESET
                 try:
                     outcome = await self._outcome(call, wire)
                 except ConnectionLostError:
@@ -413,8 +432,8 @@
         except TimeoutError:
             if outcome.status == Status.RESET:
                 outcome = Outcome(Status.TIMEOUT)
-        except FencedError:
-            outcome = Outcome(Status.MOOT)
+        except StoppedError as stopped:
+            outcome = Outcome(stopped.status)
         except (ConnectionLostError, NeverWrittenError):
             pass
         except asyncio.CancelledError:
@@ -438,11 +457,11 @@
     def _once(self, call: Call) -> bool:
         return self.core.settings.classes[call.job.class_index].effect != Effect.SAFE
 
-    def _fence(self, call: Call) -> None:
+    @staticmethod
+    def _ask(why: Status | None) -> None:
         """Guards against a process frozen while a job was on its way: without its last byte none runs."""
-        if not self.core.may_write(call.job):
-            self.counters.add("calls.fenced")
-            raise FencedError
+        if why is not None:
+            raise StoppedError(why)
 
     def _saw_kept(self, stale: bool) -> None:
         """Note how a kept connection was found: whether it ended under the next request, unheard."""
@@ -612,7 +631,7 @@
 class Visitor:
     """One inbound connection; its handler task is its owner."""
 
-    __slots__ = ("reader", "writer", "since", "waits", "asked", "served", "yielded")
+    __slots__ = ("reader", "writer", "since", "waits", "asked", "served", "yielded", "halfway", "flooded")
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, now: float) -> None:
         self.reader = reader
@@ -622,6 +641,20 @@
         self.asked = False  # has carried a whole good request
         self.served = False  # has carried a job
         self.yielded = False  # was made to go, and is about to
+        self.halfway = False  # a request has begun to come and is not whole
+        self.flooded = False  # sent so much past a request that it was dropped; an answer, and it ends
+
+    def left(self) -> bool:
+        """Whether the client has closed its side, or the connection is lost."""
+        return self.reader.at_eof() or self.writer.transport.is_closing()
+
+    def may_close(self, before: float) -> bool:
+        """Whether nothing is on its way on a connection that has waited since before a time.
+
+        Guards against an answer that is still being taken, or a request that is half here, when we leave.
+        """
+        return (self.waits is not None and self.waits < before and not self.halfway
+                and not self.writer.transport.get_write_buffer_size())
 
     def may_yield(self, now: float) -> tuple[int, float] | None:
         """Its place among those that make room for a newcomer, the least first; None: it stays.
@@ -655,6 +688,7 @@
         self.ends_at = 1e18  # when all must be answered that was asked a while after it
         self.ready = False
         self._serial = 0
+        self._flooding = 0  # clients whose excess is being dropped
         self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
         self._arriving: asyncio.Task[None] | None = None  # the last connection's taking in
@@ -716,12 +750,18 @@
                 and now() < self.ends_at - LEAVE_LEAST_MS:
             await asyncio.sleep(0.02)
         self.leaving = True
-        while self.visitors or self.core.open_jobs:
-            before = self.core.clock.now() - IDLE_LEAVING_S * 1000.0
-            for visitor in self.visitors.values():
-                if visitor.waits is not None and visitor.waits < before:
-                    visitor.writer.transport.abort()
-            await asyncio.sleep(0.02)
+        while True:
+            while self.visitors or self.core.open_jobs:
+                before = self.core.clock.now() - IDLE_LEAVING_S * 1000.0
+                for visitor in list(self.visitors.values()):
+                    if visitor.may_close(before):
+                        visitor.writer.transport.abort()
+                await asyncio.sleep(0.02)
+            if self._listener is None:
+                return
+            # Guards against a client that connects just as the last one has gone: the kernel has taken it, and
+            # a process that ends would reset it with its request unread.
+            await self._stop_accepting()
 
     async def close(self) -> None:
         """Give back the listening socket and every connection."""
@@ -811,6 +851,9 @@
                     await self._linger(visitor)
                 return
             visitor.asked = True
+            if visitor.flooded:
+                await self._linger(visitor)
+                return
             if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return
             http.start_next_cycle()
@@ -837,6 +880,7 @@
         request: h11.Request | None = None
         body = bytearray()
         received_at = self.core.clock.now() if http.trailing_data[0] else 0.0
+        visitor.halfway = bool(received_at)
         try:
             while True:
                 raw = http.trailing_data[0] if request is None else b""
@@ -856,6 +900,7 @@
                         raise BadRequestError(408, "the request did not end in time") from None
                     if data:
                         received_at = received_at or self.core.clock.now()
+                        visitor.halfway = True
                     http.receive_data(data)
                 elif isinstance(event, h11.Request):
                     check_head(event, re.split(rb"\r?\n\r?\n", raw, maxsplit=1)[0])
@@ -872,6 +917,7 @@
                 else:
                     return None
         finally:
+            visitor.halfway = False
             self.bodies += len(body)
 
     async def _handle(self, event: h11.Request, body: bytes, received_at: float, http: h11.Connection,
@@ -890,7 +936,10 @@
             if job.ident in self.open_ids:
                 raise BadRequestError(409, "the id of an open request")
             visitor.served = True
-            job.fence = self.fence
+            if visitor.left():  # sent ahead behind another request, and gone since
+                self.counters.add("requests.left_before")
+                raise ConnectionResetError("client gone")
+            job.fence, job.left = self.fence, visitor.left
             self.open_ids.add(job.ident)
             try:
                 if not self.core.may_write(job):
@@ -901,7 +950,7 @@
                     future.set_result(self.core.turn_away(job, LEAVE_RETURN_MS))
                 elif not self.core.offer(job):
                     future.set_result(self.core.turn_away(job))
-                answer = await self._wait(job, future, http, visitor.reader)
+                answer = await self._wait(job, future, http, visitor)
             finally:
                 self.open_ids.discard(job.ident)
             if answer is None:
@@ -909,7 +958,7 @@
             extra = []
             if answer.ending is Ending.REFUSED and answer.retry_after_ms > 0:
                 extra = [("Retry-After", f"{answer.retry_after_ms / 1000.0:.3f}")]
-            await self._write(http, writer, _ANSWERS[answer.ending], answer.body, extra)
+            await self._write(http, writer, _ANSWERS[answer.ending], answer.body, extra, visitor.flooded)
 
     def _may_begin(self, job: Job) -> bool:
         """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
@@ -920,39 +969,47 @@
         return True
 
     async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
-                    reader: asyncio.StreamReader) -> Answer | None:
+                    visitor: Visitor) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
+        reader = visitor.reader
         read = asyncio.ensure_future(reader.read(READ))
         early = 0
         try:
-            while early < BODY_MOST:
+            while True:
                 waited: set[asyncio.Future[Any]] = {read, future}
                 await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
                 if future.done():
-                    break
+                    return await future
                 data = b""
                 with suppress(OSError):
                     data = read.result()
                 if not data:
                     await self.core.post(lambda: self.core.gone(job))
                     return None
-                http.receive_data(data)  # of the next request; the client may still leave
                 early += len(data)
+                if early <= BODY_MOST:
+                    http.receive_data(data)  # of the next request; the client may still leave
+                elif not visitor.flooded:
+                    visitor.flooded = True
+                    self._flooding += 1
+                if visitor.flooded:
+                    await asyncio.wait([future], timeout=DROP_S * self._flooding)
                 read = asyncio.ensure_future(reader.read(READ))
-            return await future
         except asyncio.CancelledError:
             await self.core.post(lambda: self.core.gone(job))
             raise
         finally:
+            if visitor.flooded:
+                self._flooding -= 1
             read.cancel()  # bytes that have not been read by now stay in the reader
             with suppress(OSError, asyncio.CancelledError):
-                if data := await read:
+                if (data := await read) and not visitor.flooded:
                     http.receive_data(data)
 
     async def _write(self, http: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes,
-                     extra: Iterable[tuple[str, str]] = ()) -> None:
+                     extra: Iterable[tuple[str, str]] = (), flooded: bool = False) -> None:
         headers = [("Content-Length", str(len(body))), *extra]
-        if self.leaving:
+        if self.leaving or flooded:
             headers.append(("Connection", "close"))
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         if body:
