Tests that force each crossing over loopback sockets, both orders

Forced by held-back bytes and connections (new words of the scenario language: hold, release, shut, flood, pieces, half, silent, old-close), not by sleeps that hope.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,10 +12,14 @@
     same    a kept name holds a regular expression (``same $NAME PATTERN``); ``lacks``: it does not
     close   end the connection; ``expect-close`` waits until the other side does
     early   before ``send`` or ``close`` of a worker: before the request's last byte has come, else after it
+    shut    end the sending side alone; ``flood N``: send N bytes that belong to nothing
+    pieces  send a message in pieces; ``half``: its first half alone
+    silent  nothing has come since the last expect; ``old-close``: the connection that ``next`` left ends
     next    a listening actor turns to its next connection and leaves the current one open
     wait    ``wait MS``; ``term``: SIGTERM's effect; ``reload ACTOR``: SIGHUP's, with that
             actor as the new agent (``faulty``: with a file that cannot be read);
-            ``count NAME N``: a counter's value
+            ``count NAME N``: a counter's value; ``hold W``: connections to that actor do not come up
+            until ``release W``
 """
 
 from __future__ import annotations
@@ -99,6 +103,12 @@
         self.counters = Counters()
         self.kept: dict[str, str] = {}
         self.stop = asyncio.Event()
+        self.held: dict[int, asyncio.Event] = {}  # by port: until when connections to it do not come up
+
+    async def _late(self, host: str, port: int, **more: Any) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if port in self.held:
+            await self.held[port].wait()
+        return await self._connect(host, port, **more)
 
     async def _listen(self, name: str) -> None:
         side = self.sides[name] = Side()
@@ -113,6 +123,8 @@
     async def __aenter__(self) -> Cast:
         for name in ("w", "x", "d", "d2"):
             await self._listen(name)
+        self._connect = asyncio.open_connection
+        asyncio.open_connection = self._late  # type: ignore[assignment]
         known = self.more.pop("known", "w")
         settings = {**SETTINGS, **self.more.pop("settings", {})}
         fronts = self.more.pop("fronts", "").replace("PORT", str(free_port()))
@@ -141,10 +153,13 @@
         await asyncio.wait([self.task])
         for server in self.servers:
             server.close()
+        asyncio.open_connection = self._connect
 
     def entry(self, name: str, state: str = "active") -> dict[str, Any]:
+        """``state`` may name the start in ms behind an ``@``."""
+        state, _, started = state.partition("@")
         return {"id": f"s-{name}", "addr": f"127.0.0.1:{self.ports[name]}", "zone": "a", "kind": "m",
-                "cell": 0, "state": state, "weight": 1.0, "started_ms": 0}
+                "cell": 0, "state": state, "weight": 1.0, "started_ms": float(started or 0)}
 
     async def side(self, name: str) -> Side:
         if name not in self.sides:
@@ -224,6 +239,10 @@
             self.reload.asked.set()
         elif actor == "ended":
             await asyncio.wait([self.task])
+        elif actor == "hold":
+            self.held[self.ports[rest]] = asyncio.Event()
+        elif actor == "release":
+            self.held.pop(self.ports[rest]).set()
         elif actor == "count":
             name, value = rest.split()
             while self.counters.values[name] != int(value):
@@ -235,7 +254,16 @@
                 verb, _, rest = rest.partition(" ")
             elif actor in "wx" and verb in ("send", "close"):
                 await asyncio.sleep(2 * http.HOLD_S)
-            if verb == "send":
+            if verb in ("pieces", "half"):  # a message cut where it hurts; of it all, or its first half
+                await side.ready()
+                assert side.writer is not None
+                data = self.render(actor, rest)
+                cuts = [0, 10, len(data) // 2, *([len(data) - 1, len(data)] if verb == "pieces" else [])]
+                for start, end in zip(cuts, cuts[1:], strict=False):
+                    side.writer.write(data[start:end])
+                    await side.writer.drain()
+                    await asyncio.sleep(0.02)
+            elif verb == "send":
                 await side.ready()
                 assert side.writer is not None
                 for kept, value in self.kept.items():
@@ -253,6 +281,20 @@
                 assert bool(found) == (verb == "same"), self.kept[kept[1:]]
             elif verb == "expect-close":
                 await side.end()
+            elif verb == "shut":
+                await side.ready()
+                assert side.writer is not None
+                side.writer.write_eof()
+            elif verb == "flood":
+                assert side.writer is not None
+                side.writer.write(b"x" * int(rest))
+            elif verb == "silent":
+                assert side.writer is not None or side.next.empty(), "a connection came"
+                assert not side.seen, side.seen
+            elif verb == "old-close":
+                with suppress(ConnectionError):
+                    while await side.left[-1][0].read(65536):
+                        pass
             elif verb == "next":
                 side.left.append((side.reader, side.writer))
                 side.reader = side.writer = None
