A request that workers call wrong fails at once and is no mark against its worker

Ruled out: requests of ours mangled on the way (target and headers as they came) and 400s on kept connections alone (half were new ones). On zone+brink, without bad clients, there are none.

Now 400 ends the request with a failure, and the policy hears that it was not to be sent, not that its worker failed. Other 4xx stay errors: a worker that answers 404 to all must not be taken for a well one.

Also: a connection whose answer is still being taken makes no room for a newcomer (10 s at most). Test: "a request that is itself wrong"; without the change "c expect HTTP/1.1 502: TimeoutError".

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -199,6 +199,7 @@
     status: Status
     body: bytes = b""
     report: tuple[float, ...] = ()
+    at_fault: bool = False  # with ERROR: the worker says that the request itself is wrong
 
 
 class CallPort(Protocol):
@@ -515,10 +516,17 @@
         self.counters.add(f"calls.{outcome.status.name.lower()}")
         if self._left(job):
             self.gone(job)  # before the Balancer may choose a retry that nobody waits for
+        told = outcome.status
         if outcome.status == Status.OK:
             self._answer(job, Answer(Ending.SERVED, outcome.body))
+        elif outcome.at_fault:
+            # Guards against clients whose requests every worker turns down: sent on four times each, they
+            # had well workers ruled out as failing.  It says nothing of the worker, and none would do better.
+            self.counters.add("calls.at_fault")
+            self._answer(job, Answer(Ending.FAILED))
+            told = Status.MOOT
         sound = self._guard(lambda: self.balancer.on_outcome(
-            now, job.number, call.index, outcome.status, now - call.sent_at, job.answered, outcome.report))
+            now, job.number, call.index, told, now - call.sent_at, job.answered, outcome.report))
         if not job.answered and not job.open_calls:
             if not sound:
                 self._give_up(job)
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -489,7 +489,7 @@
         report = parse_load(headers.get(b"x-server-load", b""), self.report_fields)
         if response.status_code != 200:
             unrun = response.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
-            return Outcome(Status.FULL if unrun else Status.ERROR, b"", report)
+            return Outcome(Status.FULL if unrun else Status.ERROR, b"", report, response.status_code == 400)
         async for line in self._lines(wire):
             if line.id not in ("", call.job.ident):
                 raise ConnectionLostError("an answer to another request")
@@ -664,6 +664,8 @@
         """
         if self.waits is None:
             return None
+        if self.writer.transport.get_write_buffer_size() and now - self.waits < TAKE_S * 1000.0:
+            return None  # its answer is still being taken
         place = 2 if self.served else 1 if self.asked else 0
         return (place, self.waits) if now - self.waits >= YIELD_MS[place] else None
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -48,7 +48,7 @@
     "limits": {"mostTries": 4, "dialTimeout": 150.0, "secondCopies": False, "connIdle": 60000.0},
     "report": {"fields": ["queue", "x0"], "via": "off"}, "rules": {"startCapacity": 0.3},
 }
-REASONS = {200: "OK", 500: "E", 503: "U", 504: "T"}
+REASONS = {200: "OK", 400: "B", 500: "E", 503: "U", 504: "T"}
 
 
 class Side:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -292,6 +292,23 @@
 
 
 ANSWERS = {
+    # Guards against a client that has well workers ruled out by requests that each of them turns down.
+    "a request that is itself wrong is failed at once, and its worker is no worse for it": """
+        c send job poloha r1
+        w expect r1
+        w send status 400
+        c expect HTTP/1.1 502
+        c send job poloha r2
+        w expect r2
+        w send status 400
+        c expect HTTP/1.1 502
+        c send job vyuctovani r3
+        w expect r3
+        w send lines r3 done=ok .
+        c expect 200 .*ok
+        count calls.at_fault 2
+        count calls.sent 3
+    """,
     "reset after the answer began: a never-twice job is not sent again": """
         c send job vyuctovani r1
         w expect r1
@@ -396,10 +413,12 @@
         reader, writer = await asyncio.open_connection(sock=ends[0])
         visitor = http.Visitor(reader, writer, 0.0)
         assert visitor.may_close(1.0) and not visitor.may_close(0.0)
+        assert visitor.may_yield(5000.0)
         ends[1].setblocking(False)
         size = 16_000_000
         writer.write(b"x" * size)
-        assert not visitor.may_close(1.0)
+        assert not visitor.may_close(1.0) and visitor.may_yield(5000.0) is None
+        assert visitor.may_yield(1e9)  # who takes nothing for long makes room all the same
         got = 0
         async with asyncio.timeout(5.0):
             while got < size:
