A client's leaving is noted as it is heard; a play's log counts what was sent on later

Each inbound connection's protocol notes the moment at which its client left, though bytes before that are still unread ("at_eof" says so only when all is read); the core and the port ask for it before a call is chosen, before its first byte and before its last. Request lines say when the client left (gone=) and when each call's first byte left, and `gaphub lab requests DIR` ends with "left while waiting N, sent on later N".

Test: a scenario's own log is counted, and the same line with a call at 299 and at 300 ms after the leaving.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -129,7 +129,7 @@
     front: object = None  # the front's own record of it
     told_ms: float = 0.0  # what the Balancer is told is left; 0: what is left
     fence: Fence | None = None  # what must hold while it is taken and sent; None: nothing
-    left: Callable[[], bool] | None = None  # whether its client is known to have left; None: nobody can tell
+    left: Callable[[], float] | None = None  # since when its client is known to have left, 0: it has not
     number: int = 0
     ends: float = 0.0
     most_calls: int = 0  # as the settings allowed when it was taken
@@ -184,6 +184,7 @@
     took_ms: float = 0.0
     status: Status | None = None
     begun: bool = False  # set by its port when it first works on it
+    begun_at: float = 0.0  # when its first byte was about to leave, the last time; 0: never
     to: Listed | None = None  # its destination as it was listed when it was sent
 
     @property
@@ -472,7 +473,10 @@
         calls = " ".join(
             f"call={c.destination.listed.name},{c.status.name.lower() if c.status else 'open'},"
             f"{c.sent_at - job.received_at:.0f}+{c.took_ms:.0f},"
-            f"{max(0.0, c.sent_at - c.destination.listed.started_ms):.0f}" for c in job.calls)
+            f"{max(0.0, c.sent_at - c.destination.listed.started_ms):.0f},"
+            f"{f'{c.begun_at - job.received_at:.0f}' if c.begun_at else '-'}" for c in job.calls)
+        left = job.left() if job.left is not None and not job.answered_ms else 0.0
+        calls = f"gone={left - job.received_at:.0f} {calls}" if left else calls
         return (f"id={job.ident} class={job.class_index} slots={job.slots:g} left={job.left_ms:.0f} "
                 f"end={job.ending} after={job.answered_ms:.0f} {calls}").rstrip()
 
@@ -549,7 +553,7 @@
 
     @staticmethod
     def _left(job: Job) -> bool:
-        return job.left is not None and job.left()
+        return job.left is not None and job.left() > 0.0
 
     def _harmless_at(self, job: Job, destination: Destination, now: float, but: Call | None = None) -> bool:
         """Whether the job may run at a destination, by what its calls so far, all but one, may have run."""
--- a/gaphub/lab/commands.py
+++ b/gaphub/lab/commands.py
@@ -52,6 +52,8 @@
         return
     for row in stories.table(stories.read(folder), young):
         click.echo("\t".join(row))
+    waiting, later = stories.left(stories.read(folder))
+    click.echo(f"left while waiting\t{waiting}\tsent on later\t{later}")
 
 
 @click.command()
--- a/gaphub/lab/requests.py
+++ b/gaphub/lab/requests.py
@@ -8,7 +8,7 @@
 
 import re
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -23,7 +23,7 @@
     scheduler: str
     at: float  # s, when whoever kept the log took the line in; 0 if it holds no time
     values: dict[str, str]
-    calls: list[list[str]]  # worker, outcome, start and length in ms, age of the worker's process in ms
+    calls: list[list[str]]  # worker, outcome, start+length in ms, age of the worker's process, first byte in ms
     text: str
 
     def cold(self, within_ms: float) -> bool:
@@ -48,7 +48,21 @@
                             [v.split(",") for k, v in parts if k == "call"], match[2])
 
 
-def table(stories: Iterator[Story], young_ms: float) -> list[list[str]]:
+LATER_MS = 300.0  # after its client left nothing of a request may begin from then on
+
+
+def left(stories: Iterable[Story]) -> tuple[int, int]:
+    """How many requests' clients left while they waited, and for how many of these a call began too late."""
+    waiting = later = 0
+    for s in stories:
+        if "gone" in s.values:
+            waiting += 1
+            allowed = float(s.values["gone"]) + LATER_MS
+            later += any(len(c) > 4 and c[4] != "-" and float(c[4]) >= allowed for c in s.calls)
+    return waiting, later
+
+
+def table(stories: Iterable[Story], young_ms: float) -> list[list[str]]:
     """Rows of text: class, slots, end and why, the calls' outcomes, how many, their share, how many to the young.
 
     ``young_ms``: a worker that has run for less is young; a request counts that had a call to one.
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -397,6 +397,7 @@
                     wire = await pool.take(self._once(call) and self.stale > STALE)
                     kept = wire.used
                     self._ask(self.core.may_go_on(call))
+                    call.begun_at = self.core.clock.now()
                     try:
                         last = await self._begin(call, wire)
                     except NeverWrittenError as error:
@@ -628,14 +629,34 @@
     return 0
 
 
+class Ears(asyncio.StreamReaderProtocol):
+    """An inbound connection's protocol, which notes when its client left though bytes before that are unread."""
+
+    def __init__(self, reader: asyncio.StreamReader, now: Callable[[], float]) -> None:
+        super().__init__(reader)
+        self.now = now
+        self.left_at = 0.0
+
+    def eof_received(self) -> bool | None:
+        """The client has ended its sending: it has gone away."""
+        self.left_at = self.left_at or self.now()
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is lost, or we have closed it."""
+        self.left_at = self.left_at or self.now()
+        super().connection_lost(exc)
+
+
 class Visitor:
     """One inbound connection; its handler task is its owner."""
 
-    __slots__ = ("reader", "writer", "since", "waits", "asked", "served", "yielded", "halfway", "flooded")
+    __slots__ = ("reader", "writer", "ears", "since", "waits", "asked", "served", "yielded", "halfway", "flooded")
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, now: float) -> None:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ears: Ears, now: float) -> None:
         self.reader = reader
         self.writer = writer
+        self.ears = ears
         self.since = now  # when it was accepted
         self.waits: float | None = now  # since when the client is to send something; None: we are at work
         self.asked = False  # has carried a whole good request
@@ -644,9 +665,9 @@
         self.halfway = False  # a request has begun to come and is not whole
         self.flooded = False  # sent so much past a request that it was dropped; an answer, and it ends
 
-    def left(self) -> bool:
-        """Whether the client has closed its side, or the connection is lost."""
-        return self.reader.at_eof() or self.writer.transport.is_closing()
+    def left(self) -> float:
+        """Since when the client is known to have closed its side or the connection to be lost; 0: it is there."""
+        return self.ears.left_at
 
     def may_close(self, before: float) -> bool:
         """Whether nothing is on its way on a connection that has waited since before a time.
@@ -795,14 +816,15 @@
         loop = asyncio.get_running_loop()
         try:
             reader = asyncio.StreamReader(limit=RECEIVE)
-            protocol = asyncio.StreamReaderProtocol(reader)
+            protocol = Ears(reader, self.core.clock.now)
             transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
         except OSError:
             sock.close()
             return
         self.counters.add("connections.inbound")
         self._serial += 1
-        visitor = Visitor(reader, asyncio.StreamWriter(transport, protocol, reader, loop), self.core.clock.now())
+        visitor = Visitor(reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol,
+                          self.core.clock.now())
         self.visitors[self._serial] = visitor
         self._tasks.start(self._serve(self._serial, visitor))
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
 
 from gaphub.core import Call, Core
+from gaphub.lab import requests
 from gaphub.net import destinations, http
 
 from .scenario import SETTINGS, Cast, play
@@ -116,6 +119,36 @@
     asyncio.run(run())
 
 
+# What a play's log counts: clients that left while their requests waited, and calls that began 0.3 s later.
+def test_the_log_counts_who_left_and_what_was_sent_on_later(tmp_path: Path) -> None:
+    lines: list[str] = []
+
+    async def run() -> None:
+        scheduler = Cast(fronts="[log]\nrequests = true\n")
+        scheduler.counters.line = lambda name, text: lines.append(f"1.5 gaphub: {name}: {text}\n")
+        async with scheduler as cast:
+            await cast.play(ONE + """
+                c send job poloha r1
+                w expect r1
+                c close
+                count requests.client_gone 1
+                c send job poloha r2
+                w next
+                w expect r2
+                w send lines r2 done=one .
+                c expect 200
+            """)
+
+    asyncio.run(run())
+    (tmp_path / "n0.log").write_text("".join(lines))
+    assert requests.left(requests.read(tmp_path)) == (1, 0)
+    gone = next(line for line in lines if "id=r1 " in line)
+    at = int(re.search(r"gone=(\d+)", gone)[1])  # type: ignore[index]
+    for later, counted in ((299, 0), (300, 1)):
+        (tmp_path / "n0.log").write_text(re.sub(r",(\d+)$", f",{at + later}", gone.strip()) + "\n")
+        assert requests.left(requests.read(tmp_path)) == (1, counted)
+
+
 # The port has been given the call, and its task has not taken its first step: its body never runs.
 def test_a_call_called_off_before_its_first_step_ends_all_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
     cores: list[Core] = []
@@ -411,7 +444,8 @@
     async def run() -> None:
         ends = socket.socketpair()
         reader, writer = await asyncio.open_connection(sock=ends[0])
-        visitor = http.Visitor(reader, writer, 0.0)
+        ears = writer.transport.get_protocol()
+        visitor = http.Visitor(reader, writer, ears, 0.0)  # type: ignore[arg-type]
         assert visitor.may_close(1.0) and not visitor.may_close(0.0)
         assert visitor.may_yield(5000.0)
         ends[1].setblocking(False)
