--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -109,6 +109,8 @@
             source = _object(source, key.rpartition(".")[0] or key).get(part)
         if source is not None:
             values[field] = source
+    # Guards against a file without the key: what it does not allow is not done.
+    values.setdefault("second_copies", False)
     family = _object(raw.get("familyInfo"), "familyInfo")
     grades = _objects(raw.get("grades"), "grades")
     if not grades:
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -761,7 +761,8 @@
         those that are here end with an answer; idle ones wait for one as long as there is time.
         """
         now = self.core.clock.now
-        longest = max(c.deadline_ms for c in self.core.settings.classes)
+        # Of the classes in force: rows of others are kept for open jobs, and SIGKILL does not wait for those.
+        longest = max(self.core.settings.classes[row].deadline_ms for row in self.core.table.live.values())
         self.told_at = now()
         self.ends_at = self.told_at + min(longest, LEAVE_MOST_MS) + LEAVE_MORE_MS - LEAVE_SLACK_MS
         if successor:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,6 +12,7 @@
 import pytest
 
 from gaphub.config import FRONTS, ConfigError, from_text
+from gaphub.interface import Effect
 
 from .scenario import SETTINGS
 
@@ -32,6 +33,15 @@
     assert config.settings.connect_timeout_ms == 150.0
 
 
+# Guards against a default that allows what the settings do not name.
+def test_what_settings_do_not_name_is_not_allowed() -> None:
+    bare = {"grades": [{"name": "one", "slo": 500.0, "deadline": 5000.0}]}
+    settings = read(settings=bare).settings
+    assert not (settings.second_copies or settings.may_tell_peers or settings.may_probe)
+    assert settings.classes[0].effect == Effect.UNSAFE
+    assert read(settings={**bare, "limits": {"secondCopies": True}}).settings.second_copies
+
+
 @pytest.mark.parametrize(
     ("words", "more"),
     [
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import socket
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 from gaphub.lab import requests
 from gaphub.net import destinations, http
 
-from .scenario import SETTINGS, Cast, play
+from .scenario import CLASSES, SETTINGS, Cast, play
 
 ONE = "d expect index=41\n"
 
@@ -465,6 +466,30 @@
     asyncio.run(run())
 
 
+# SIGHUP has dropped the class of the longest deadline, of which a job is open: SIGKILL does not wait for it.
+def test_the_time_to_leave_is_that_of_the_classes_in_force(monkeypatch: pytest.MonkeyPatch) -> None:
+    left: list[http.Inbound] = []
+    leave = http.Inbound.leave
+
+    async def noted(self: http.Inbound, *more: Any) -> None:
+        left.append(self)
+        await leave(self, *more)
+
+    monkeypatch.setattr(http.Inbound, "leave", noted)
+
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE + "c send job vyuctovani r1\nw expect r1")
+            file = json.loads(cast.file)
+            file["settings"]["grades"] = [{**CLASSES[0], "deadline": 600.0}]
+            cast.file = json.dumps(file).encode()
+            cast.reload.asked.set()
+            await cast.play("count reloads.done 1\nterm\nw send lines r1 done=one .\nc expect 200 .*one\nended")
+            assert left[0].ends_at - left[0].told_at == 600.0 + http.LEAVE_MORE_MS - http.LEAVE_SLACK_MS
+
+    asyncio.run(run())
+
+
 # A client connects just as the last of the others has gone: the kernel has taken it, nobody has read it.
 def test_who_connects_just_before_the_end_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(http, "LEAVE_MOST_MS", 500.0)
