SIGHUP while a process starts neither ends it nor is forgotten

SIGHUP was heard only from the event loop's first step on; before that its default ended the process, and of the moment between the reading of the file and the handler nothing was left. Forced by a process whose file is a pipe: SIGHUP is sent while it reads the old file, the new one lies there; without the change the process ends ("TimeoutError: timed out" waiting for its call to the new agent).

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -89,6 +89,15 @@
             destinations.move(new.discovery)
 
 
+def held_back() -> None:
+    """Keep SIGHUP waiting until there is somebody to hear it.
+
+    Guards against new settings that are announced while a process starts: SIGHUP ended it, and one that comes
+    after the file was read must not be forgotten either.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+
+
 def status(config: Config, core: Core, counters: Counters, address: ServiceAddress | None) -> dict[str, Any]:
     """What ``gaphub status`` shows."""
     return {"name": config.name, "version": __version__, "open_jobs": core.open_jobs,
@@ -221,12 +230,15 @@
     reload = Reload(config, lambda: load(os.environ, again=True), counters)
     for number, asked in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, reload.asked)):
         asyncio.get_running_loop().add_signal_handler(number, asked.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
     await serve(config, counters, stop, reload)
+    held_back()  # from here on nobody hears it again: it must not end in another way what ends well
 
 
 def serve_or_say() -> int:
     """Run; 2 if the configuration cannot be used."""
     try:
+        held_back()
         config = load(os.environ)
         gc.freeze()
         gc.set_threshold(50_000, 50, 50)
