Gearman: a job that only waited is not begun for clients that left, unique or not

A foreground job with a unique was kept though nobody waited for it and no worker had it: it ran minutes later (test without the change: "count gearman.client_gone 1: TimeoutError"). What a worker was handed still runs on and is recorded, as its client may submit it again; what only waited never ran, gives back its unique and claim, and may be submitted anew.

Two crossings between the front and the core, which hears of the leaving by its mailbox: a worker's grab in between was given the job; now the core's rule is asked at the grab, as HTTP does before a last byte. And the core's own answer in between gave the job's place back a second time: "[-1, 0] == [0, 0]" places out, so more jobs than workers had room for went to the core from then on. Ruled out as a mend: posting first, giving back later, which leaves the grab open.

--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman.py
@@ -108,6 +108,7 @@
     client: int = 0  # of a scheduled job: whose it is, and its size in the queues
     size: int = 0
     running: bool = False
+    left_at: float = 0.0  # when the last that waited for it left before it was handed out: it is done with then
     progress: tuple[bytes, bytes] = (b"0", b"0")
 
 
@@ -351,16 +352,24 @@
         """A session ended: its queued calls never ran, its grabbed ones may have."""
         for work in list(session.waits_for):
             work.listeners = [s for s in work.listeners if s is not session]
-            # A job with a unique runs on: its client may believe it lost and submit it again.
-            if not work.listeners and not work.background and not work.unique and work.job is not None:
-                self._works.pop(work.handle, None)
-                if work.waiting is not None:
-                    self.queues.remove(work.waiting)
-                    work.waiting = None
-                    continue
-                self._out[work.job.class_index] -= 1
-                self._starts(work)
-                await self.core.post(partial(self.core.gone, work.job))
+            if work.listeners or work.background or work.job is None:
+                continue
+            # A job with a unique that a worker was handed runs on: its client may believe it lost and submit it
+            # again.  One that has only waited never ran, so it is not begun for nobody, and may be submitted anew.
+            if work.unique and any(call.written for call in work.job.calls):
+                continue
+            self.counters.add("gearman.client_gone")
+            work.left_at = self.core.clock.now()
+            self._works.pop(work.handle, None)
+            if work.unique:
+                self._unclaim(work)
+            if work.waiting is not None:
+                self.queues.remove(work.waiting)
+                work.waiting = None
+                continue
+            self._out[work.job.class_index] -= 1
+            self._starts(work)
+            await self.core.post(partial(self.core.gone, work.job))
         session.waits_for.clear()
         if session.told is not None:
             self._workers.pop(session.name, None)
@@ -474,6 +483,7 @@
         job = Job(f"{self._random.getrandbits(64):016x}", class_index, now,
                   self.core.settings.classes[class_index].deadline_ms, partial(self._answered, work),
                   workload, news=partial(self._told, work), front=work, fence=self.fence)
+        job.left = lambda: work.left_at
         work.job = job
         if due is None:
             self._queue(work, session.number, size)
@@ -612,8 +622,20 @@
                     if packet != WORK_EXCEPTION or session.exceptions:
                         session.send(packet, work.handle, *arguments)
 
+    def _unclaim(self, work: Work) -> None:
+        """A job with a unique never ran: it may be submitted again."""
+        assert work.job is not None
+        key = (work.function, work.unique)
+        self._by_unique.pop(key, None)
+        if self._never_twice(work.job.class_index):
+            self.store.delete(_claim(key), self.core.clock.now())
+
     def _answered(self, work: Work, answer: Answer, drawn: bool = True) -> None:
         """The final answer of a job, from the core or its queue: record it, then tell all who wait."""
+        if work.left_at:
+            # Guards against an answer that is on its way as the last client leaves: what the job held was given
+            # back then, and its unique may be another job's by now.
+            return
         self._works.pop(work.handle, None)
         key = (work.function, work.unique)
         assert work.job is not None
@@ -621,18 +643,18 @@
             self._out[work.job.class_index] -= 1
             self._starts(work)
         if work.unique:
-            self._by_unique.pop(key, None)
             never_twice = self._never_twice(work.job.class_index)
             now = self.core.clock.now()
             if answer.ending is Ending.SERVED or (answer.ending is Ending.FAILED and never_twice):
                 end = End(work.handle, answer.ending, answer.body, now + self.set.keep_s * 1000.0)
                 self._ends[key] = end
                 self._ends_bytes += len(answer.body)
+                self._by_unique.pop(key, None)
                 self._trim()
                 if never_twice:
                     self.store.put(_claim(key), answer.ending.value.encode(), now, self.set.keep_s * 1000.0)
-            elif never_twice:
-                self.store.delete(_claim(key), now)  # it never ran: it may be submitted again
+            else:
+                self._unclaim(work)
         for session in work.listeners:
             session.waits_for.discard(work)
             _tell_end(session, work.handle, answer.ending, answer.body)
@@ -711,11 +733,10 @@
     async def _grab(self, session: Session, kind: int) -> None:
         session.asleep = False
         await self._end_excepted(session)
-        while session.queue and not self.core.may_write(session.queue[0][3].job):
-            call = heappop(session.queue)[3]  # its right to be served ended here: nothing of it was written
+        while session.queue and (why := self.core.may_end(session.queue[0][3])) is not None:
+            call = heappop(session.queue)[3]  # fenced, or nobody waits for it: nothing of it was written
             call.over = True
-            self.counters.add("calls.fenced")
-            await self.core.post(partial(self.core.ended, call, Outcome(Status.MOOT)))
+            await self.core.post(partial(self.core.ended, call, Outcome(why)))
         if not session.queue:
             session.send(NO_JOB)
             return
