The watch outlives whatever an answer does to the code that reads it

A list that nests thousands of brackets deep raises RecursionError, not the decoder's own error: the actor of the list ended, and no drain was heard any more until the next restart (test without the change: "task_failed: 1", no further call). It is a garbled list like others now, and whatever else raises is logged and waited out. The same text as a configuration at SIGHUP ended the actor of reloads; it is turned down with its name now.

An entry whose address nobody can call (a port over 65535) raised wherever the Balancer meant to use it, in the middle of what it did for a request; it is left out and counted (garbled.entry), the others count. The way not taken: dropping the whole list, which one bad entry would then keep from being heard for good.

--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -528,7 +528,7 @@
 def _decode(data: bytes, type_: type[T], where: str, toml: bool = False) -> T:
     try:
         return msgspec.toml.decode(data, type=type_) if toml else msgspec.json.decode(data, type=type_)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:  # the latter: brackets, thousands deep
         raise ConfigError(f"{where}: {_wire_key(str(error))}") from None
 
 
--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-from ..config import Address, Config, DestinationList, ListedEntry
+from ..config import Address, Config, ConfigError, DestinationList, ListedEntry, address
 from ..core import Core, Listed
 from ..interface import ListKind, WorkerState
 from ..metrics import Counters
@@ -113,6 +113,11 @@
                     if not isinstance(error, TimeoutError):  # else a wait is over already: watch on at once
                         await self._unless_moved(asyncio.sleep(pause))
                         pause = min(AGAIN_MOST_S, pause * 2)
+                except Exception as error:  # whatever an answer does to the code that reads it, the watch goes on
+                    self._drop()
+                    self.counters.log("lists.raised", repr(error))
+                    await self._unless_moved(asyncio.sleep(pause))
+                    pause = min(AGAIN_MOST_S, pause * 2)
         finally:
             self._drop()
 
@@ -159,7 +164,7 @@
         try:
             found = msgspec.json.decode(body, type=DestinationList)
             entries = self._entries(found)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:  # the latter: brackets, thousands deep
             self.counters.log("garbled.list", str(error))
             await asyncio.sleep(AGAIN_S)
             return True
@@ -171,7 +176,21 @@
         return bool(entries or found.full)
 
     def _entries(self, found: DestinationList) -> list[Listed]:
-        return [self._entry(e) for e in found.servers]
+        return [self._entry(e) for e in found.servers if self._has_address(e)]
+
+    def _has_address(self, e: ListedEntry) -> bool:
+        """Whether it can be called, or need not be.
+
+        Guards against an entry that raises wherever the Balancer means to call it, which would end in the middle
+        of what it does for a request.
+        """
+        try:
+            address(e.addr, e.id)
+        except ConfigError as error:
+            if e.state != "left":
+                self.counters.log("garbled.entry", str(error))
+                return False
+        return True
 
     def _entry(self, e: ListedEntry) -> Listed:
         return Listed(e.id, e.addr, _STATES[e.state], self.models.get(e.kind, 0), e.cell, e.weight,
