Calls end whatever raises; probes and closes look at bytes that crossed them

It is a garbled line; and whatever raises in a call ends it as what is true: could not connect before the last byte, reset after. - A worker that says half a line before the request's last byte and no more held the request until its deadline, though nothing of it was out ("x expect r1: TimeoutError"). It has TAIL_S. - A probe on a kept connection that its worker's machine closes early, as it may, was a mark against a well worker ("probes.reset 1"): it takes another connection. What came unasked while the connection rested was taken for the probe's answer ("probes.error 1"), and the probe's answer might have been the next request's: looked for first. - Leaving and making room closed a resting connection whose next request this process had read but not looked at: read and lost ("w expect r2: TimeoutError, requests.client_gone 1"). Bytes not looked at keep it open. - Bytes that come as a silent connection's time ends are looked at before it is given up. It still gets 408. - A report that holds nan or inf is none: it made every comparison with that worker false.

--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 import socket
 import zlib
@@ -98,14 +99,18 @@
 
 
 def parse_load(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """A load report, as JSON or as ``name=value,...``, in the order of the settings; () if it is none."""
+    """A load report, as JSON or as ``name=value,...``, in the order of the settings; () if it is none.
+
+    Guards against a spoilt ``nan`` or ``inf``: no comparison of the Balancer's would be true or false of it.
+    """
     try:
         if text.lstrip().startswith(b"{"):
             values = _load.decode(text)
         else:
             pairs = (p.partition("=") for p in text.decode("ascii").split(",") if p.strip())
             values = {name.strip(): float(value) for name, _, value in pairs}
-        return tuple(float(values[f]) for f in fields)
+        found = tuple(float(values[f]) for f in fields)
+        return found if all(map(math.isfinite, found)) else ()
     except (msgspec.DecodeError, ValueError, KeyError):
         return ()
 
@@ -136,6 +141,18 @@
         """Whether another request may be written."""
         return not (self.reader.at_eof() or self.writer.transport.is_closing())
 
+    async def quiet(self) -> bool:
+        """Whether nothing has come on it since its last answer."""
+        self.heard = False
+        try:
+            async with asyncio.timeout(0.0):
+                await self.reader.read(1)
+        except TimeoutError:
+            return True
+        except OSError:
+            pass
+        return False
+
     async def send(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> None:
         """Write a whole request; NeverWrittenError if its last byte did not leave."""
         await self._write(self._render(method, target, headers, body))
@@ -348,10 +365,24 @@
         wire: Wire | None = None
         try:
             async with asyncio.timeout(PROBE_S):
-                wire = await pool.take()
-                status = Status.RESET
-                await wire.send("GET", "/-/load", [(b"Host", self.service)], b"")
-                event = await wire.event()
+                while wire is None:
+                    status = Status.CONNECT_FAILED
+                    wire = await pool.take()
+                    status = Status.RESET
+                    kept = wire.used
+                    try:
+                        # Guards against what a worker said on it unasked: that would be taken for the probe's
+                        # answer, and the probe's answer for the next request's.
+                        if kept and not await wire.quiet():
+                            raise NeverWrittenError
+                        await wire.send("GET", "/-/load", [(b"Host", self.service)], b"")
+                        event = await wire.event()
+                    except (ConnectionLostError, NeverWrittenError):
+                        if not kept or wire.heard:
+                            raise
+                        # Closed early by the worker's machine, as it may be: that is no word on the worker.
+                        pool.drop(wire)
+                        wire = None
                 body = await wire.body()
                 if isinstance(event, h11.Response):
                     status = Status.OK if event.status_code == 200 else Status.ERROR
@@ -407,7 +438,10 @@
                             wire = None
                             continue
                         if isinstance(error, EarlyAnswerError):
-                            early = await self._outcome(call, wire)
+                            # Guards against one that says half a line before its turn, and no more: the request
+                            # would wait for it until its deadline, though nothing of it is out.
+                            async with asyncio.timeout(TAIL_S):
+                                early = await self._outcome(call, wire)
                             outcome.status = Status.FULL if early.status == Status.FULL else outcome.status
                             outcome.report = early.report
                         raise
@@ -439,6 +473,8 @@
             pass
         except asyncio.CancelledError:
             outcome = Outcome(Status.CANCELLED)
+        except Exception as error:  # whatever raises: the request is owed an end, its slot and connection go back
+            self.counters.log("calls.raised", repr(error))
         call.over = True  # from here on nothing may call it off: its outcome is on the way
         del self._calls[id(call)]
         keep = wire is not None and call.written and outcome.status in (Status.OK, Status.FULL, Status.ERROR)
@@ -527,7 +563,7 @@
     def _decode(self, text: bytes) -> Line:
         try:
             return _line.decode(text)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:  # the latter: brackets, thousands deep
             raise self._garbled(str(error)) from None
 
     def _garbled(self, why: str) -> ConnectionLostError:
@@ -636,6 +672,12 @@
         super().__init__(reader)
         self.now = now
         self.left_at = 0.0
+        self.heard = 0  # bytes that have come
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have come; whoever reads them has yet to be woken."""
+        self.heard += len(data)
+        super().data_received(data)
 
     def eof_received(self) -> bool | None:
         """The client has ended its sending: it has gone away."""
@@ -651,7 +693,8 @@
 class Visitor:
     """One inbound connection; its handler task is its owner."""
 
-    __slots__ = ("reader", "writer", "ears", "since", "waits", "asked", "served", "yielded", "halfway", "flooded")
+    __slots__ = ("reader", "writer", "ears", "since", "waits", "asked", "served", "yielded", "halfway", "flooded",
+                 "taken")
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ears: Ears, now: float) -> None:
         self.reader = reader
@@ -664,6 +707,18 @@
         self.yielded = False  # was made to go, and is about to
         self.halfway = False  # a request has begun to come and is not whole
         self.flooded = False  # sent so much past a request that it was dropped; an answer, and it ends
+        self.taken = 0  # bytes that were read from it
+
+    async def read(self) -> bytes:
+        """What has come, as soon as anything has; empty at the end."""
+        data = await self.reader.read(READ)
+        self.taken += len(data)
+        return data
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have come to this process that its handler has yet to read."""
+        return self.ears.heard > self.taken
 
     def left(self) -> float:
         """Since when the client is known to have closed its side or the connection to be lost; 0: it is there."""
@@ -672,9 +727,10 @@
     def may_close(self, before: float) -> bool:
         """Whether nothing is on its way on a connection that has waited since before a time.
 
-        Guards against an answer that is still being taken, or a request that is half here, when we leave.
+        Guards against an answer that is still being taken, or a request that is half here or whole and not
+        looked at yet, when we leave: what this process has read is owed an answer.
         """
-        return (self.waits is not None and self.waits < before and not self.halfway
+        return (self.waits is not None and self.waits < before and not self.halfway and not self.unread
                 and not self.writer.transport.get_write_buffer_size())
 
     def may_yield(self, now: float) -> tuple[int, float] | None:
@@ -683,7 +739,7 @@
         Guards against crowds that hold connections and send nothing, or asked once and stay: without this
         they filled the clients' part, and jobs were refused for want of a connection.
         """
-        if self.waits is None:
+        if self.waits is None or self.unread:
             return None
         if self.writer.transport.get_write_buffer_size() and now - self.waits < TAKE_S * 1000.0:
             return None  # its answer is still being taken
@@ -776,10 +832,7 @@
         self.leaving = True
         while True:
             while self.visitors or self.core.open_jobs:
-                before = self.core.clock.now() - IDLE_LEAVING_S * 1000.0
-                for visitor in list(self.visitors.values()):
-                    if visitor.may_close(before):
-                        visitor.writer.transport.abort()
+                self._close_resting(self.core.clock.now() - IDLE_LEAVING_S * 1000.0)
                 await asyncio.sleep(0.02)
             if self._listener is None:
                 return
@@ -787,6 +840,12 @@
             # a process that ends would reset it with its request unread.
             await self._stop_accepting()
 
+    def _close_resting(self, before: float) -> None:
+        """Close what has rested since before a time."""
+        for visitor in list(self.visitors.values()):
+            if visitor.may_close(before):
+                visitor.writer.transport.abort()
+
     async def close(self) -> None:
         """Give back the listening socket and every connection."""
         await self._tasks.close()
@@ -891,7 +950,7 @@
         with suppress(OSError, TimeoutError):
             visitor.writer.write_eof()
             async with asyncio.timeout(LINGER_ERROR_S):
-                while left > 0 and (data := await visitor.reader.read(READ)):
+                while left > 0 and (data := await visitor.read()):
                     left -= len(data)
 
     def _until(self, visitor: Visitor, received_at: float) -> float | None:
@@ -920,8 +979,10 @@
                     left_s = None if until is None else (until - self.core.clock.now()) / 1000.0
                     try:
                         async with asyncio.timeout(left_s):
-                            data = await visitor.reader.read(READ)
+                            data = await visitor.read()
                     except TimeoutError:
+                        if visitor.unread and not received_at:
+                            continue  # the first bytes came in this very moment: they are looked at first
                         raise BadRequestError(408, "the request did not end in time") from None
                     if data:
                         received_at = received_at or self.core.clock.now()
@@ -996,8 +1057,7 @@
     async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
                     visitor: Visitor) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
-        reader = visitor.reader
-        read = asyncio.ensure_future(reader.read(READ))
+        read = asyncio.ensure_future(visitor.read())
         early = 0
         try:
             while True:
@@ -1019,7 +1079,7 @@
                     self._flooding += 1
                 if visitor.flooded:
                     await asyncio.wait([future], timeout=DROP_S * self._flooding)
-                read = asyncio.ensure_future(reader.read(READ))
+                read = asyncio.ensure_future(visitor.read())
         except asyncio.CancelledError:
             await self.core.post(lambda: self.core.gone(job))
             raise
