Tests that force the crossings of starts, probes, spoilt answers and Gearman's leaving

Forced by pipes, held messages and handlers called in the middle of each other, none by a sleep that hopes. The test of an answer that is being taken gets the front's own protocol instead of asyncio's; its assertions are as they were.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,8 +4,13 @@
 
 import asyncio
 import json
+import os
 import re
+import signal
 import socket
+import subprocess
+import sys
+import tomllib
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -15,10 +20,35 @@
 from gaphub.core import Call, Core
 from gaphub.lab import requests
 from gaphub.net import destinations, http
+from gaphub.net.gearman import Gearman
 
-from .scenario import CLASSES, SETTINGS, Cast, play
+from .scenario import CLASSES, SETTINGS, Cast, free_port, play
+from .test_gearman import FRONTS, WORKER
 
 ONE = "d expect index=41\n"
+ROOT = Path(__file__).resolve().parent.parent
+DEEP = "[" * 20_000  # JSON that nests deeper than the decoder goes, which it says by another error than others
+
+SERVED = ONE + "c send job poloha r1\nw expect r1\nw send lines r1 done=one .\nc expect 200 .*one"
+
+
+def whole(body: str) -> str:
+    """A step that sends a whole answer of 200."""
+    return f"send HTTP/1.1 200 OK\\r\\nContent-Length: {len(body)}\\r\\n\\r\\n{body}"
+
+
+@pytest.fixture
+def cores(monkeypatch: pytest.MonkeyPatch) -> list[Core]:
+    """The cores of the schedulers that a test starts."""
+    found: list[Core] = []
+    run = Core.run
+
+    async def noted(self: Core) -> None:
+        found.append(self)
+        await run(self)
+
+    monkeypatch.setattr(Core, "run", noted)
+    return found
 
 # --- a client leaves ---------------------------------------------------------------------------------
 
@@ -120,6 +150,80 @@
     asyncio.run(run())
 
 
+GEARMAN_LEAVES = {
+    "while its job waits for a grab": f"""{WORKER}
+        g2 send 7 FUNCTION|u1|old
+        g expect #6
+        g2 close
+        count gearman.client_gone 1
+        g send 9
+        g expect #10
+    """,
+    "while its job waits before the core": f"""
+        g2 send 7 FUNCTION|u1|old
+        g2 expect #8
+        g2 close
+        count gearman.client_gone 1
+        {WORKER}
+        g send 9
+        g expect #10
+    """,
+}
+
+
+# A job with a unique that only waited is not begun for a client that left; submitted again it is a new one.
+@pytest.mark.parametrize("function", ["pos", "pay"])
+@pytest.mark.parametrize("name", GEARMAN_LEAVES)
+def test_a_gearman_client_leaves(name: str, function: str) -> None:
+    play(GEARMAN_LEAVES[name].replace("FUNCTION", function) + f"""
+        g send 4
+        g3 send 7 {function}|u1|new
+        g3 expect #8
+        g expect #6
+        g send 9
+        g expect #11 (?P<h>H:[^\\x00]+)\\x00{function}\\x00new
+        g send 13 $h|done
+        g3 expect #13 .*done
+        count gearman.joined 0
+        count gearman.assigned 1
+    """, known="", fronts=FRONTS)
+
+
+# The core has yet to hear of the leaving: a worker's grab, or the core's own answer, comes first.
+@pytest.mark.parametrize("unique", ["", "u1"])
+@pytest.mark.parametrize("first", ["grab", "answer"])
+def test_a_gearman_client_leaves_and_the_core_hears_of_it_late(
+        first: str, unique: str, cores: list[Core], monkeypatch: pytest.MonkeyPatch) -> None:
+    held: list[Callable[[], None]] = []
+    post = Core.post
+
+    async def late(core: Core, message: Callable[[], None]) -> None:
+        if getattr(getattr(message, "func", None), "__name__", "") == "gone":
+            held.append(message)
+        else:
+            await post(core, message)
+
+    monkeypatch.setattr(Core, "post", late)
+    grades = [{**CLASSES[0], "deadline": 600.0 if first == "answer" else 5000.0}, CLASSES[1]]
+
+    async def run() -> None:
+        async with Cast(known="", fronts=FRONTS, settings={"grades": grades}) as cast:
+            await cast.play(f"{WORKER}\ng2 send 7 pos|{unique}|old\ng expect #6\ng2 close")
+            async with asyncio.timeout(5.0):
+                while not held:
+                    await asyncio.sleep(0.001)
+                if first == "grab":
+                    await cast.play("g send 9\ng expect #10\ncount calls.moot 1\ncount gearman.assigned 0")
+                while cores[0].open_jobs:  # its deadline, or what the grab brought
+                    await asyncio.sleep(0.01)
+            held[0]()
+            front = cores[0].ports["gearman"]
+            assert isinstance(front, Gearman) and front._out == [0, 0] and not front._unstarted
+            assert not front._works and not front._by_unique
+
+    asyncio.run(run())
+
+
 # What a play's log counts: clients that left while their requests waited, and calls that began 0.3 s later.
 def test_the_log_counts_who_left_and_what_was_sent_on_later(tmp_path: Path) -> None:
     lines: list[str] = []
@@ -394,6 +498,72 @@
 }
 
 
+SPOILT = {
+    # A call whose code raises would keep its request, its slot, its connection and the end of the process.
+    "an answer that nests deeper than it can be read is one reset": f"""
+        c send job vyuctovani r1
+        w expect r1
+        w send HTTP/1.1 200 OK\\r\\n\\r\\n{{"state":"done","result":{DEEP}\\n
+        c expect HTTP/1.1 502
+        count garbled.answer 1
+        count calls.reset 1
+        w expect-close
+        term
+        ended
+    """,
+    "half a line before the request's last byte, and no more: the attempt ends, and never ran": """
+        c send job vyuctovani r1 0123456789
+        w expect POST .*012345678
+        d send list 42 changes x=active
+        d expect index=42
+        w early send HTTP/1.1 2
+        x expect r1.*0123456789
+        x send lines r1 done=one .
+        c expect 200 .*one
+        w expect-close
+        w silent
+        count calls.connect_failed 1
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SPOILT)
+def test_spoilt_answers(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "HOLD_S", 0.5)
+    monkeypatch.setattr(http, "TAIL_S", 0.1)
+    play(ONE + SPOILT[name])
+
+
+# No comparison is true or false of such a figure, so a report that holds one is none.
+@pytest.mark.parametrize("text", [b"queue=nan,x0=1", b"queue=1,x0=-inf", b"queue=1e999,x0=1",
+                                  b'{"queue":1e400,"x0":1}'])
+def test_a_report_that_holds_no_number_is_none(text: bytes) -> None:
+    assert http.parse_load(text, ("queue", "x0")) == ()
+    assert http.parse_load(b"queue=1,x0=-0.5", ("queue", "x0")) == (1.0, -0.5)
+
+
+# Whatever raises in a call's own code ends the attempt as what is true of it.
+@pytest.mark.parametrize(("where", "ends"), [("begin", "connect_failed"), ("event", "reset")])
+def test_a_call_that_raises_ends_all_the_same(where: str, ends: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(destinations, "Wire", type("Apart", (http.Wire,), {}))  # discovery's stays as it is
+    original = getattr(http.Wire, where)
+
+    async def faulty(self: http.Wire, *more: Any) -> Any:
+        if type(self) is http.Wire:
+            raise RuntimeError("a fault of ours")
+        return await original(self, *more)
+
+    monkeypatch.setattr(http.Wire, where, faulty)
+    play(ONE + f"""
+        c send job vyuctovani r1 X-Timeout:900m
+        c expect HTTP/1.1 50
+        count calls.{ends} 1
+        w expect-close
+        term
+        ended
+    """)
+
+
 @pytest.mark.parametrize("name", ANSWERS)
 def test_answers(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(http, "HOLD_S", 0.15)
@@ -422,6 +592,124 @@
     """, settings={"limits": {**SETTINGS["limits"], "connIdle": 200.0}})
 
 
+PROBES = {
+    # The worker's machine may end an idle connection when it likes: that is no word on the worker.
+    "its connection is closed as it is written": """
+        w expect GET /-/load
+        w close
+        w expect GET /-/load
+        w send status 200 body={"queue":1,"x0":2}
+        count probes.ok 1
+        count probes.reset 0
+        count connections.outbound 2
+    """,
+    "its connection is new and closed as it is written": """
+        w expect GET /-/load
+        w close
+        w expect GET /-/load
+        w close
+        count probes.reset 1
+        count connections.outbound 2
+    """,
+}
+
+
+@pytest.mark.parametrize("name", PROBES)
+def test_a_probe_on_a_kept_connection(name: str, cores: list[Core]) -> None:
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(SERVED)
+            port = cores[0].ports["discovery"]
+            assert isinstance(port, http.Outbound)
+            async with asyncio.timeout(5.0):
+                while not any(pool.idle for pool in port.pools.values()):
+                    await asyncio.sleep(0.001)
+            cores[0].probe(next(iter(cores[0]._destinations)))
+            await cast.play(PROBES[name])
+
+    asyncio.run(run())
+
+
+# What a worker says unasked between two requests is no probe's answer, nor the probe's that of the next request.
+def test_a_second_answer_while_its_connection_rests_is_not_a_probes(cores: list[Core]) -> None:
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(SERVED)
+            port = cores[0].ports["discovery"]
+            assert isinstance(port, http.Outbound)
+            async with asyncio.timeout(5.0):
+                while not any(pool.idle for pool in port.pools.values()):
+                    await asyncio.sleep(0.001)
+                await cast.play("w early send status 503")
+                wire = next(w for pool in port.pools.values() for w in pool.idle)
+                while not wire.reader._buffer:  # type: ignore[attr-defined]
+                    await asyncio.sleep(0.001)
+            cores[0].probe(next(iter(cores[0]._destinations)))
+            await cast.play("""
+                w next
+                w expect GET /-/load
+                w old-close
+                w send status 200 body={"queue":1,"x0":2}
+                count probes.ok 1
+                count probes.error 0
+            """)
+
+    asyncio.run(run())
+
+
+# A client begins in the moment in which its silent connection is given up.
+def test_a_request_that_comes_as_its_silent_connection_is_given_up_is_served(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    read = http.Visitor.read
+    crossed: list[http.Visitor] = []
+
+    async def late(self: http.Visitor) -> bytes:
+        if not crossed:
+            while not self.unread:
+                await asyncio.sleep(0.001)
+            crossed.append(self)
+            raise TimeoutError
+        return await read(self)
+
+    monkeypatch.setattr(http.Visitor, "read", late)
+    play(SERVED)
+
+
+# The process has read a request whose handler has yet to be woken, and just then it closes what rests.
+@pytest.mark.parametrize("closer", ["leaving", "making room"])
+def test_a_request_that_was_read_as_its_connection_was_to_close_is_served(
+        closer: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    inbounds: list[http.Inbound] = []
+    take_in, received = http.Inbound._take_in, http.Ears.data_received
+
+    async def noted(self: http.Inbound, sock: socket.socket) -> None:
+        inbounds.append(self)
+        await take_in(self, sock)
+
+    def crossed(self: http.Ears, data: bytes) -> None:
+        received(self, data)
+        if b"r2" in data:
+            if closer == "leaving":
+                inbounds[0]._close_resting(1e18)
+            else:
+                assert not inbounds[0]._make_room()
+
+    monkeypatch.setattr(http.Inbound, "_take_in", noted)
+    monkeypatch.setattr(http.Ears, "data_received", crossed)
+    monkeypatch.setattr(http, "YIELD_MS", (0.0, 0.0, 0.0))
+    play(ONE + """
+        c send job poloha r1
+        w expect r1
+        w send lines r1 done=one .
+        c expect 200 .*one
+        c send job poloha r2
+        w expect r2
+        w send lines r2 done=two .
+        c expect 200 .*two
+        count requests.served 2
+    """)
+
+
 # --- leaving ---------------------------------------------------------------------------------------------
 
 # c2's end shows that idle connections are being closed; c has waited longer, and its request is half here.
@@ -444,9 +732,12 @@
 def test_an_answer_that_is_being_taken_is_not_cut_off_by_leaving() -> None:
     async def run() -> None:
         ends = socket.socketpair()
-        reader, writer = await asyncio.open_connection(sock=ends[0])
-        ears = writer.transport.get_protocol()
-        visitor = http.Visitor(reader, writer, ears, 0.0)  # type: ignore[arg-type]
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader()
+        ears = http.Ears(reader, lambda: 1.0)
+        transport, _ = await loop.create_connection(lambda: ears, sock=ends[0])
+        writer = asyncio.StreamWriter(transport, ears, reader, loop)
+        visitor = http.Visitor(reader, writer, ears, 0.0)
         assert visitor.may_close(1.0) and not visitor.may_close(0.0)
         assert visitor.may_yield(5000.0)
         ends[1].setblocking(False)
@@ -457,7 +748,7 @@
         got = 0
         async with asyncio.timeout(5.0):
             while got < size:
-                got += len(await asyncio.get_running_loop().sock_recv(ends[1], 1 << 20))
+                got += len(await loop.sock_recv(ends[1], 1 << 20))
             while not visitor.may_close(1.0):
                 await asyncio.sleep(0.001)
         writer.close()
@@ -558,6 +849,26 @@
         c expect 200
         x silent
     """,
+    "an answer that nests deeper than it can be read is dropped, and the watch goes on": f"""
+        d {whole('{"more":' + DEEP)}
+        d expect index=41
+        count garbled.list 1
+        d send list 42 changes w=leaving x=active
+        d expect index=42
+        c send job poloha r1
+        x expect r1
+        x send lines r1 done=ok .
+        c expect 200
+    """,
+    "an entry that cannot be called is left out, and the others count": f"""
+        d {whole('{"version":42,"servers":[{"id":"s-y","addr":"127.0.0.1:99999","state":"active"}]}')}
+        d expect index=42
+        count garbled.entry 1
+        c send job poloha r1 X-Timeout:300m
+        c expect HTTP/1.1 503
+        count calls.sent 0
+        count core_failed 0
+    """,
     "a new agent at SIGHUP: what the old one says then is not believed": """
         reload d2
         d2 expect GET /api/targets HTTP
@@ -579,3 +890,81 @@
     if "SIGHUP" not in name:
         monkeypatch.setattr(destinations, "SILENT_S", -0.7)  # of 1 s that the call may wait
     play(ONE + WATCHES[name])
+
+
+@pytest.mark.parametrize("fault", [RuntimeError, ValueError])
+def test_a_watch_outlives_whatever_its_own_code_raises(fault: type[Exception],
+                                                       monkeypatch: pytest.MonkeyPatch) -> None:
+    entries = destinations.DestinationSet._entries
+    raised: list[int] = []
+
+    def faulty(self: destinations.DestinationSet, found: Any) -> Any:
+        if found.version == 42 and not raised:
+            raised.append(1)
+            raise fault("a fault of ours")
+        return entries(self, found)
+
+    monkeypatch.setattr(destinations.DestinationSet, "_entries", faulty)
+    play(ONE + """
+        d send list 42 changes w=leaving x=active
+        d next
+        d expect index=41
+        count lists.raised 1
+        d send list 42 changes w=leaving x=active
+        d expect index=42
+        c send job poloha r1
+        x expect r1
+        x send lines r1 done=ok .
+        c expect 200
+    """)
+
+
+# --- a process's first and last moments ------------------------------------------------------------------
+
+# SIGHUP comes while a process is being started, before its file is read, or after it was and before anybody hears:
+# it neither ends the process nor is forgotten.  The file is a pipe, so that the test knows where the process is.
+def test_sighup_while_a_process_starts(tmp_path: Path) -> None:
+    def text(discovery: int) -> bytes:
+        return json.dumps({"name": "n0", "listen": f"127.0.0.1:{listen}", "seed": "a1", "settings": SETTINGS,
+                           "discovery": f"127.0.0.1:{discovery}"}).encode()
+
+    listen = free_port()
+    agents = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+    old, new = (a.getsockname()[1] for a in agents)
+    pipe, path = tmp_path / "pipe", tmp_path / "config.json"
+    os.mkfifo(pipe)
+    path.symlink_to(pipe)
+    env = {**os.environ, "LB_CONFIG": str(path), "LB_FRONTS": str(ROOT / "deploy/fronts.toml")}
+    for variable in ("LB_LISTEN", "LB_DISCOVERY", "LB_NAME", "LB_ADMIN"):
+        env.pop(variable, None)
+    process = subprocess.Popen([sys.executable, "-m", "gaphub"], cwd=ROOT, env=env, stderr=subprocess.PIPE)
+    try:
+        with open(pipe, "wb") as end:  # opens when the process opens its own end
+            later = tmp_path / "later.json"
+            later.write_bytes(text(new))
+            (tmp_path / "link").symlink_to(later)
+            (tmp_path / "link").replace(path)
+            process.send_signal(signal.SIGHUP)
+            end.write(text(old))
+        agents[1].settimeout(20.0)
+        heard, _ = agents[1].accept()  # it has read the new file
+        heard.close()
+        process.send_signal(signal.SIGTERM)
+        _, said = process.communicate(timeout=20.0)
+        assert process.returncode == 0 and b"reloads.done=1" in said
+    finally:
+        process.kill()
+        process.wait()
+        for agent in agents:
+            agent.close()
+
+
+# The deploy file's command has SIGHUP passed over from its first word on, until Python hears signals.
+def test_the_deploy_files_command_outlives_sighup_before_python_runs(tmp_path: Path) -> None:
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    python = tmp_path / ".venv/bin/python"
+    python.parent.mkdir(parents=True)
+    python.write_text("#!/bin/sh\nkill -HUP $$\necho alive \"$@\"\n")
+    python.chmod(0o755)
+    done = subprocess.run(["/bin/sh", "-c", run], cwd=tmp_path, capture_output=True, timeout=20.0, check=False)
+    assert (done.returncode, done.stdout) == (0, b"alive -m gaphub\n")
