Asked lists are watched within two seconds, however long the module would wait

That is meant for discovery itself, whose calls cost. On sockets the agent is asked, at no cost, and what it has counts as told 6 s later whether it was asked or not, so after an outage, or with a larger askEvery than the default 10 s, a drain could count as told long before it was heard. No test had a list that is asked for.

Now the actor of the list opens the watch itself after 2 s without a word of the module's, unless it was told to stop.

--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -32,6 +32,10 @@
 AT_ONCE_S = 0.02
 QUICK = 8
 BUSY_S = 0.05
+# Where lists are asked for, the module waits longer after each failure, and spreads its first call over the time
+# that the settings give, as calls to discovery itself cost.  The agent's do not, and what it has counts as told
+# 6 s later, asked for or not: after so long without a word of the module's the watch is opened all the same.
+UNASKED_S = 2.0
 SOURCE = "discovery"
 _STATES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
@@ -48,6 +52,7 @@
         self.known = config.known
         self.version = config.known.version
         self.following = not config.settings.must_ask
+        self.stopped = False  # by the module's word
         self.told = False  # whether the agent has said anything since the start
         self._first_whole = config.admin is not None  # readiness waits for it: a watch may have nothing to say
         self._asked: asyncio.Queue[str] = asyncio.Queue(8)
@@ -92,9 +97,10 @@
         try:
             while True:
                 while not self._asked.empty() or not (self.following or whole):
-                    what = await self._asked.get()
+                    what = await self._next_asked()
                     whole = whole or what == "fetch"
                     self.following = what == "follow" if what != "fetch" else self.following
+                    self.stopped = what == "stop" if what != "fetch" else self.stopped
                 if self._moved.is_set():
                     # The new agent may count its versions anew: it is asked for the whole list first.
                     self._moved.clear()
@@ -121,6 +127,15 @@
         finally:
             self._drop()
 
+    async def _next_asked(self) -> str:
+        """What the module asks for next; a watch, if it is silent for too long and has not stopped one."""
+        try:
+            async with asyncio.timeout(None if self.stopped else UNASKED_S):
+                return await self._asked.get()
+        except TimeoutError:
+            self.counters.add("lists.unasked")
+            return "follow"
+
     async def _unless_moved(self, work: Coroutine[Any, Any, None]) -> None:
         """Do something, but break it off when the agent moves: the old one may be silent for long."""
         task, moved = asyncio.ensure_future(work), asyncio.ensure_future(self._moved.wait())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -919,6 +919,40 @@
     """)
 
 
+# Where lists are asked for the module takes its time to ask: what the agent has counts as told all the same.
+ASKED = {"registryMode": "subscribe", "rules": {**SETTINGS["rules"], "askEvery": 1e7}}
+
+
+@pytest.mark.parametrize("failures", ["", "d half list 43 full x=active", "d expect-close"])
+def test_an_asked_list_is_watched_though_the_module_waits(failures: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(destinations, "UNASKED_S", 0.1)
+    monkeypatch.setattr(destinations, "SILENT_S", -0.7)  # of 1 s that the call may wait
+    again = f"{failures}\nd close\nd expect index=41\n" * (3 if failures else 0)
+    play(ONE + again + """
+        d send list 42 changes w=leaving x=active
+        d expect index=42
+        c send job poloha r1
+        x expect r1
+        x send lines r1 done=ok .
+        c expect 200
+        w silent
+    """, settings=ASKED)
+
+
+def test_an_asked_list_is_not_watched_against_the_modules_word(cores: list[Core],
+                                                               monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(destinations, "UNASKED_S", 0.05)
+
+    async def run() -> None:
+        async with Cast(settings=ASKED) as cast:
+            cores[0].watch(False)
+            await cast.play("wait 300\nd silent\ncount lists.unasked 0")
+            cores[0].watch(True)
+            await cast.play(ONE)
+
+    asyncio.run(run())
+
+
 # --- a process's first and last moments ------------------------------------------------------------------
 
 # SIGHUP comes while a process is being started, before its file is read, or after it was and before anybody hears:
