Requests whose tenant no front tells are within every share

The fronts hear no tenant, so the core handed every request to the policy as the first tenant's. With tenants in the settings, all traffic would count against the first one's quota, and what is past it is worth little and turned away before the rest.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,7 @@
 import pytest
 
 from gaphub.core import Answer, Call, Clock, Core, Destination, Ending, Job, Listed, Outcome, Tasks
-from gaphub.interface import ClassSettings, Effect, Group, ListKind, Settings, Status, WorkerState
+from gaphub.interface import ClassSettings, Effect, Group, ListKind, Settings, Status, TenantSettings, WorkerState
 from gaphub.logic import Balancer
 from gaphub.metrics import Counters
 
@@ -320,3 +320,15 @@
             await tasks.close()
 
     asyncio.run(run())
+
+
+# Another customer's settings: the fronts do not tell whose a request is, so none is counted as past a quota.
+def test_requests_of_nobody_known_are_within_every_share() -> None:
+    tenants = (TenantSettings(quota_per_s=0.001, share=0.5), TenantSettings(quota_per_s=100.0, share=0.5))
+    core = Core(replace(SETTINGS, tenants=tenants, over_share_worth=0.1), 5, Clock(), Counters())
+    core.ports["test"] = Port()
+    core.listed("test", ListKind.CHANGES, [Listed("w1", "", WorkerState.READY)])
+    for i in range(200):
+        core._take(Job(f"r{i}", 0, core.clock.now(), 4000.0, lambda answer: None))
+    assert core.balancer.jobs
+    assert not any(job.over_share for job in core.balancer.jobs.values())
