--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -404,8 +404,8 @@
             self._fence_off(job)
             return
         heappush(self._deadlines, (job.ends - EARLY_MS, job.number))
-        # No front tells whose a request is.  Guards against settings with tenants: as the first one's, all went past
-        # its quota and were turned away before others.
+        # No front tells whose a request is.  Guards against settings with tenants: as the first one's, all were
+        # past its quota, and so turned away first.
         nobody = len(self.settings.tenants)
         request = Request(job.number, job.class_index, job.told_ms or job.ends - now, nobody, job.key, 0.0,
                           job.slots, job.memory, job.is_retry)
