A drain is heard though its entry's address cannot be called

Seen in the last read of the change: entries that cannot be called were left out whatever they said, so a known worker told to drain with a spoilt address would have gone on being sent to. Only active ones are left out now. Test: "an entry that cannot be called and says that its worker drains counts".

--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -202,7 +202,7 @@
         try:
             address(e.addr, e.id)
         except ConfigError as error:
-            if e.state != "left":
+            if e.state == "active":  # what says that a worker drains or has gone counts all the same
                 self.counters.log("garbled.entry", str(error))
                 return False
         return True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -869,6 +869,15 @@
         count calls.sent 0
         count core_failed 0
     """,
+    "an entry that cannot be called and says that its worker drains counts": f"""
+        d {whole('{"version":42,"full":false,"servers":[{"id":"s-w","addr":"127.0.0.1:99999","state":"leaving"}]}')}
+        d expect index=42
+        c send job poloha r1 X-Timeout:300m
+        c expect HTTP/1.1 503
+        count calls.sent 0
+        count core_failed 0
+        w silent
+    """,
     "a new agent at SIGHUP: what the old one says then is not believed": """
         reload d2
         d2 expect GET /api/targets HTTP
