--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -870,7 +870,7 @@
         count core_failed 0
     """,
     "an entry that cannot be called and says that its worker drains counts": f"""
-        d {whole('{"version":42,"full":false,"servers":[{"id":"s-w","addr":"127.0.0.1:99999","state":"leaving"}]}')}
+        d {whole('{"version":42,"full":false,"servers":[{"id":"s-w","addr":"a:99999","state":"leaving"}]}')}
         d expect index=42
         c send job poloha r1 X-Timeout:300m
         c expect HTTP/1.1 503
