One name for what the decoder raises, and one reading of the pages in $TMPDIR

Found in the last read of the change: the pair of errors that a garbled text may raise stood in three places with one comment (now config.GARBLED), and both pages were unsealed, decoded and given up alike in out.py and legacy.py (now page.unseal).

--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -20,6 +20,8 @@
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
 Address = tuple[str, int]
 T = TypeVar("T")
+# What the decoder raises of a text that it cannot read; the latter where brackets nest thousands deep.
+GARBLED = (msgspec.DecodeError, RecursionError)
 
 
 class ConfigError(ValueError):
@@ -528,7 +530,7 @@
 def _decode(data: bytes, type_: type[T], where: str, toml: bool = False) -> T:
     try:
         return msgspec.toml.decode(data, type=type_) if toml else msgspec.json.decode(data, type=type_)
-    except (msgspec.DecodeError, RecursionError) as error:  # the latter: brackets, thousands deep
+    except GARBLED as error:
         raise ConfigError(f"{where}: {_wire_key(str(error))}") from None
 
 
--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-from ..config import Address, Config, ConfigError, DestinationList, ListedEntry, address
+from ..config import GARBLED, Address, Config, ConfigError, DestinationList, ListedEntry, address
 from ..core import Core, Listed
 from ..interface import ListKind, WorkerState
 from ..metrics import Counters
@@ -179,7 +179,7 @@
         try:
             found = msgspec.json.decode(body, type=DestinationList)
             entries = self._entries(found)
-        except (msgspec.DecodeError, RecursionError) as error:  # the latter: brackets, thousands deep
+        except GARBLED as error:
             self.counters.log("garbled.list", str(error))
             await asyncio.sleep(AGAIN_S)
             return True
--- a/gaphub/net/http.py
+++ b/gaphub/net/http.py
@@ -19,7 +19,7 @@
 import h11
 import msgspec
 
-from ..config import Address, Config, address
+from ..config import GARBLED, Address, Config, address
 from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Outcome, Tasks
 from ..interface import Effect, Status
 from ..metrics import Counters
@@ -563,7 +563,7 @@
     def _decode(self, text: bytes) -> Line:
         try:
             return _line.decode(text)
-        except (msgspec.DecodeError, RecursionError) as error:  # the latter: brackets, thousands deep
+        except GARBLED as error:
             raise self._garbled(str(error)) from None
 
     def _garbled(self, why: str) -> ConnectionLostError:
--- a/gaphub/ops/legacy.py
+++ b/gaphub/ops/legacy.py
@@ -57,13 +57,8 @@
 
 def read(data: bytes, scheduler: str, now: float) -> Legacy | None:
     """A page; None if it is torn, old, of another form or of another scheduler."""
-    if (body := unseal(data)) is None:
-        return None
-    try:
-        page = msgspec.json.decode(body, type=Legacy)
-    except msgspec.DecodeError:
-        return None
-    if page.format != FORMAT or page.scheduler != scheduler or not 0.0 <= now - page.at <= AGE_MS:
+    page = unseal(data, Legacy)
+    if page is None or page.format != FORMAT or page.scheduler != scheduler or not 0.0 <= now - page.at <= AGE_MS:
         return None
     return page
 
--- a/gaphub/ops/out.py
+++ b/gaphub/ops/out.py
@@ -82,12 +82,7 @@
 
     def decode(self, data: bytes) -> list[Word] | None:
         """The words of a page; None if it is torn, of another format or of another scheduler."""
-        if (body := unseal(data)) is None:
-            return None
-        try:
-            page = msgspec.json.decode(body, type=_Page)
-        except msgspec.DecodeError:
-            return None
-        if page.format != FORMAT or page.scheduler != self.scheduler or len(page.words) > MOST:
+        page = unseal(data, _Page)
+        if page is None or page.format != FORMAT or page.scheduler != self.scheduler or len(page.words) > MOST:
             return None
         return page.words
--- a/gaphub/ops/page.py
+++ b/gaphub/ops/page.py
@@ -1,11 +1,16 @@
-"""Owns the form of the pages in ``$TMPDIR``: a line with the sum of what follows, then the text.
+"""Owns the form of the pages in ``$TMPDIR``: a line with the sum of what follows, then the text as JSON.
 
-Pure.  It must never give back a text that is not whole.
+Pure.  It must never give back what is not whole.
 """
 
 from __future__ import annotations
 
 import zlib
+from typing import TypeVar
+
+import msgspec
+
+T = TypeVar("T")
 
 
 def seal(body: bytes) -> bytes:
@@ -13,7 +18,12 @@
     return b"%08x\n" % zlib.crc32(body) + body
 
 
-def unseal(data: bytes) -> bytes | None:
-    """The text of a page; None if it is torn."""
+def unseal(data: bytes, form: type[T]) -> T | None:
+    """What a page says; None if it is torn or of another form."""
     head, _, body = data.partition(b"\n")
-    return body if head == b"%08x" % zlib.crc32(body) else None
+    if head != b"%08x" % zlib.crc32(body):
+        return None
+    try:
+        return msgspec.json.decode(body, type=form)
+    except msgspec.DecodeError:
+        return None
