--- a/gaphub/cli.py
+++ b/gaphub/cli.py
@@ -245,11 +245,16 @@
     """The lab's commands, loaded when one is asked for: they need the extra ``gaphub[lab]``."""
 
     def list_commands(self, context: click.Context) -> list[str]:
-        return ["demo", "explore", "failover", "fleet", "gearman", "idle", "recovery", "requests", "up"]
+        return ["demo", "explore", "failover", "fleet", "gearman", "idle", "recovery", "requests", "scale",
+                "up"]
 
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
         if name not in self.list_commands(context):
             return None
+        if name == "scale":
+            from .lab.scale.commands import scale
+
+            return scale
         from .lab import commands
 
         found: click.Command = getattr(commands, name)
--- /dev/null
+++ b/gaphub/lab/scale/processes.py
@@ -0,0 +1,205 @@
+"""Owns the processes of a point: the real schedulers and the hollow fleet, started and ended by their handles."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import psutil
+
+from ...admin import ask
+from ...config import Address
+from ..site import SETTINGS, free_port
+from ..world import read_head
+from .discovery import CountingAgent, zone_name
+from .hollow import HollowPlan, Sent
+from .points import Load
+from .sampling import Sample
+
+TREE = Path(__file__).resolve().parents[3]
+READY_S = 30.0  # for a scheduler's start with its whole list
+END_S = 3.0  # for a process to end by itself
+ANSWER_S = 20.0  # for an answer of the hollow fleet; its first comes when its tables are filled
+SOCKETS = 1_024  # of a real scheduler
+MEMORY_MB = 512
+
+
+class ProcessError(RuntimeError):
+    """A process that did not start, or does not answer."""
+
+
+def hollow_address(index: int, port: int) -> Address:
+    """The address of one hollow scheduler; Linux answers on all of 127.0.0.0/8."""
+    return f"127.1.{index // 250}.{1 + index % 250}", port
+
+
+def free_udp_port() -> int:
+    """A UDP port of loopback that nobody listens on now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
+        s.bind(("127.0.0.1", 0))
+        port: int = s.getsockname()[1]
+        return port
+
+
+class RealScheduler:
+    """One ``python -m gaphub`` with files of its own."""
+
+    def __init__(self, folder: Path, number: int, agent: CountingAgent) -> None:
+        self.name = f"n{number}"
+        self.number = number
+        self.agent = agent
+        self.listen: Address = ("127.0.0.1", free_port())
+        self.peer_listen: Address = ("127.0.0.1", free_udp_port())
+        self.ops: Address = ("127.0.0.1", free_port())
+        self.folder = folder / self.name
+        self.folder.mkdir(parents=True)
+        self.process: asyncio.subprocess.Process | None = None
+        self._config: dict[str, Any] = {}
+
+    def configure(self, load: Load, peers: list[Address], price: float, tells: bool) -> None:
+        """Write its files; ``tells``: whether peer messages are allowed."""
+        limits = {**SETTINGS["limits"], "peerMessages": tells}
+        self._config = {
+            "name": self.name, "listen": _text(self.listen), "seed": f"{self.number + 1:x}",
+            "discovery": _text(self.agent.address), "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "peer_listen": _text(self.peer_listen), "peers": [_text(p) for p in peers], "admin": _text(self.ops),
+            "known": {"version": 0, "full": True, "servers": []},
+            "settings": {**SETTINGS, "me": self.number, "balancers": len(peers), "limits": limits,
+                         "zones": [zone_name(z) for z in range(load.zones)], "deductions": {"peer": price},
+                         "tenants": [{"quotaPerS": 1_000.0, "share": 1.0 / load.teams}] * load.teams}}
+        self._write()
+        (self.folder / "fronts.toml").write_text(f'[admin]\nsocket = "{self.folder / "admin.sock"}"\n')
+
+    def _write(self) -> None:
+        file = self.folder / "config.json"
+        fresh = file.with_suffix(".new")
+        fresh.write_text(json.dumps(self._config))
+        fresh.replace(file)
+
+    async def start(self) -> None:
+        """Start the process."""
+        env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"), "LB_NAME": self.name,
+               "LB_FRONTS": str(self.folder / "fronts.toml"), "PYTHONPATH": str(TREE),
+               "TMPDIR": str(self.folder)}
+        for variable in ("LB_LISTEN", "LB_DISCOVERY", "LB_ADMIN"):
+            env.pop(variable, None)
+        with open(self.folder / "log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "gaphub", env=env, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+
+    async def ready(self, workers: int) -> None:
+        """Wait until it serves and knows so many workers."""
+        ends = time.monotonic() + READY_S
+        while time.monotonic() < ends:
+            if self.process is None or self.process.returncode is not None:
+                break
+            with suppress(OSError, ProcessError, asyncio.IncompleteReadError, TimeoutError):
+                if (await self.stats())["targets"] == workers:
+                    return
+            await asyncio.sleep(0.1)
+        raise ProcessError(f"{self.name} was not ready: {self.last_words()}")
+
+    def last_words(self) -> str:
+        """The end of its log."""
+        return (self.folder / "log").read_text(errors="replace")[-300:].strip()
+
+    async def stats(self) -> dict[str, Any]:
+        """The figures at the operators' address."""
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection(*self.ops)
+            try:
+                writer.write(b"GET /ops/stats HTTP/1.1\r\nHost: a\r\n\r\n")
+                first, headers = await read_head(reader)
+                body = await reader.readexactly(int(headers["content-length"]))
+            finally:
+                writer.close()
+        if " 200 " not in first:
+            raise ProcessError(f"{self.name}: {first}")
+        found: dict[str, Any] = json.loads(body)
+        return found
+
+    async def sample(self) -> Sample:
+        """What it has spent so far."""
+        assert self.process is not None
+        told = await ask(str(self.folder / "admin.sock"), "status")
+        seen = psutil.Process(self.process.pid)
+        spent = seen.cpu_times()
+        return Sample(time.monotonic(), spent.user + spent.system, seen.memory_info().rss / 1e6,
+                      told["counters"], self.agent.answered_bytes, self.agent.asked_bytes)
+
+    def change_settings(self, serial: int) -> None:
+        """Write a configuration that differs from the last one, and tell the process."""
+        assert self.process is not None
+        self._config["settings"]["limits"]["maxRetryAfter"] = 1_000.0 + serial
+        self._write()
+        self.process.send_signal(signal.SIGHUP)
+
+    async def close(self) -> None:
+        """Kill it and wait for its end."""
+        await _end(self.process, kill=True)
+
+
+class HollowProcess:
+    """The process of the hollow fleet."""
+
+    def __init__(self) -> None:
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, plan: HollowPlan) -> None:
+        """Start it; returns when it sends."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "gaphub.lab.scale.hollow", cwd=TREE, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE)
+        self._write(msgspec.json.encode(plan))
+        await self._answer()
+
+    def _write(self, line: bytes) -> None:
+        assert self.process is not None
+        assert self.process.stdin is not None
+        self.process.stdin.write(line + b"\n")
+
+    async def _answer(self) -> Sent:
+        assert self.process is not None
+        assert self.process.stdout is not None
+        async with asyncio.timeout(ANSWER_S):
+            line = await self.process.stdout.readline()
+        if not line:
+            raise ProcessError("the hollow fleet has ended")
+        return msgspec.json.decode(line, type=Sent)
+
+    async def count(self) -> Sent:
+        """What it has done so far."""
+        self._write(b"count")
+        return await self._answer()
+
+    async def close(self) -> None:
+        """End its input and wait for its end."""
+        if self.process is not None and self.process.stdin is not None:
+            self.process.stdin.close()
+        await _end(self.process)
+
+
+async def _end(process: asyncio.subprocess.Process | None, kill: bool = False) -> None:
+    if process is None or process.returncode is not None:
+        return
+    if not kill:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(END_S):
+                await process.wait()
+    if process.returncode is None:
+        with suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+
+def _text(to: Address) -> str:
+    return f"{to[0]}:{to[1]}"
--- a/gaphub/net/peers.py
+++ b/gaphub/net/peers.py
@@ -183,4 +183,5 @@
             self.counters.log("garbled.datagram", f"{len(data)} bytes from {sender[0]}:{sender[1]}")
             return
         self.counters.add("peers.received")
+        self.counters.add("peers.received_bytes", len(data))
         peer.put(data)
