--- a/gaphub/lab/scale/hollow.py
+++ b/gaphub/lab/scale/hollow.py
@@ -5,8 +5,8 @@
 each other costs the real ones nothing.  What comes to its socket is never read; the kernel drops it.
 
 The whole fleet lives in one process, ``python -m gaphub.lab.scale.hollow``: the first line on standard input is a
-``HollowPlan``, each further one a word: ``count`` (answered by a ``Sent``), ``hush`` or ``speak``.  At the end of
-the input the process ends.
+``HollowPlan``, each further one asks for the counts so far and is answered by a ``Sent``.  At the end of the input
+the process ends.
 """
 
 from __future__ import annotations
@@ -198,9 +198,7 @@
         self.plan = plan
         self.sockets = [_bound(to) for to in plan.listen]
         self.fleet = HollowFleet(plan, _now())
-        self.silent = False
         self.datagrams = self.bytes = self.unsent = 0
-        self._words = b""
 
     def run(self) -> None:
         """Send what is due until the input ends."""
@@ -209,8 +207,7 @@
             if readable and not self._listen():
                 return
             for scheduler, data in self.fleet.advance(_now()):
-                if not self.silent:
-                    self._send(self.sockets[scheduler], data)
+                self._send(self.sockets[scheduler], data)
 
     def _send(self, sock: socket.socket, data: bytes) -> None:
         self.datagrams += 1
@@ -222,14 +219,10 @@
                 self.unsent += 1
 
     def _listen(self) -> bool:
-        """Do what the input says; False at its end."""
+        """Answer each line of the input; False at its end."""
         read = os.read(0, 4096)
-        *words, self._words = (self._words + read).split(b"\n")
-        for word in words:
-            if word == b"count":
-                os.write(1, msgspec.json.encode(self.count()) + b"\n")
-            else:
-                self.silent = word == b"hush"
+        for _ in range(read.count(b"\n")):
+            os.write(1, msgspec.json.encode(self.count()) + b"\n")
         return bool(read)
 
     def count(self) -> Sent:
--- a/gaphub/lab/scale/in_force.py
+++ b/gaphub/lab/scale/in_force.py
@@ -3,8 +3,8 @@
 The operators' address of each scheduler is polled, so this is a phase of its own: what the polls cost is in no
 window of CPU time.  A change of the list takes one worker out, zone by zone, and is in force where the number of
 targets has fallen by as many as were taken out before and with it.  A change of the settings is a new file and
-SIGHUP, and is in force where as many reloads have succeeded.  Changes of settings come no faster than
-``SETTINGS_MOST_PER_S``: reloads that come together are one.
+SIGHUP, and is in force where as many reloads have succeeded.  Either come no more slowly than ``LEAST_PER_S``, and
+there are ``CHANGES_LEAST`` of them at the least.
 
 Times are up to the first poll that sees the change, so they are too long by up to a poll; a pair of scheduler and
 change that is not in force ``LIMIT_S`` after the last change is missed, and counts with that time.
@@ -22,12 +22,12 @@
 from .discovery import Registry
 from .points import InForce
 from .processes import ProcessError, RealScheduler
+from .scenario import SETTINGS_MOST_PER_S
 
 POLL_S = 0.02
 LIMIT_S = 8.0  # above the 6 s that are promised
 CHANGES_LEAST = 4
-LIST_LEAST_PER_S = 1.0  # a slower pace would make no change within the phase
-SETTINGS_MOST_PER_S = 2.0
+LEAST_PER_S = 1.0  # a slower pace would make no change within the phase
 _MOST_US = 60_000_000
 
 
@@ -99,7 +99,7 @@
 async def list_changes(schedulers: list[RealScheduler], registry: Registry, per_s: float, phase_s: float
                        ) -> InForce:
     """Take workers out of the list at a rate, at the most one zone; all of them must be listed before."""
-    per_s = max(LIST_LEAST_PER_S, per_s)
+    per_s = max(LEAST_PER_S, per_s)
     order = registry.by_zone()[:max(1, registry.workers // registry.zones)]
     count = min(len(order), max(CHANGES_LEAST, round(per_s * phase_s)))
     watch = await _watch(schedulers, count, per_s, lambda serial: registry.set(order[serial], False),
@@ -109,7 +109,7 @@
 
 async def settings_changes(schedulers: list[RealScheduler], per_s: float, phase_s: float) -> InForce:
     """Change the settings of every scheduler at a rate."""
-    per_s = min(SETTINGS_MOST_PER_S, max(LIST_LEAST_PER_S, per_s))
+    per_s = min(SETTINGS_MOST_PER_S, max(LEAST_PER_S, per_s))
     before = [(await one.stats())["reload_success"] for one in schedulers]
 
     def change(serial: int) -> None:
--- a/gaphub/lab/scale/processes.py
+++ b/gaphub/lab/scale/processes.py
@@ -146,7 +146,7 @@
     def change_settings(self, serial: int) -> None:
         """Write a configuration that differs from the last one, and tell the process."""
         assert self.process is not None
-        self._config["settings"]["limits"]["maxRetryAfter"] = 1_000.0 + serial
+        self._config["settings"]["limits"]["maxRetryAfter"] = 1_001.0 + serial
         self._write()
         self.process.send_signal(signal.SIGHUP)
 
@@ -185,7 +185,7 @@
 
     async def count(self) -> Sent:
         """What it has done so far."""
-        self._write(b"count")
+        self._write(b"")
         return await self._answer()
 
     async def close(self) -> None:
--- a/gaphub/lab/scale/runner.py
+++ b/gaphub/lab/scale/runner.py
@@ -138,7 +138,7 @@
     except (ProcessError, OSError, TimeoutError) as error:
         return replace(empty, failed=repr(error))
     return replace(empty, seconds=found.seconds, schedulers=found.schedulers, baseline=baseline.schedulers,
-                   in_force_ms=in_force, failed=unsound(found))
+                   in_force_ms=in_force, failed=unsound(found, planned.load.schedulers))
 
 
 async def _in_force(stage: Stage, planned: Planned, scenario: Scenario) -> InForce | None:
@@ -151,8 +151,11 @@
     return None
 
 
-def unsound(window: Window) -> str:
-    """Why a window does not show the load that was planned; empty if it does."""
+def unsound(window: Window, schedulers: int) -> str:
+    """Why a window does not show the load that was planned; empty if it does.
+
+    ``schedulers``: all of them.
+    """
     if window.sent is None:
         return ""
     before, after = window.sent
@@ -162,7 +165,10 @@
         faults.append(f"the hollow schedulers played {covered:.2f} s of {went_by:.2f} s: "
                       f"{(after.starts - before.starts) / went_by:.0f} starts a second")
     sent = (after.datagrams - before.datagrams) * len(window.schedulers)
-    came = sum(m.peer_in_datagrams for m in window.schedulers)
+    # The real ones hear each other too, and tell every peer the same.
+    told = sum(m.peer_out_datagrams for m in window.schedulers)
+    from_real = told * (len(window.schedulers) - 1) / (schedulers - 1)
+    came = round(sum(m.peer_in_datagrams for m in window.schedulers) - from_real)
     if came < (1.0 - LOST_MOST) * sent:
         faults.append(f"{came} of the hollow schedulers' {sent} datagrams arrived")
     if window.dropped:
--- a/gaphub/lab/scale/scenario.py
+++ b/gaphub/lab/scale/scenario.py
@@ -24,6 +24,7 @@
 PROCESS_BYTES = 64_000_000  # of memory for a scheduler that knows of nothing
 SETTINGS_SWEEP = "settings_changes_per_s"  # swept like a key of [load]; the changes are then of settings
 CHANGES_SWEEP = "changes_per_s"
+SETTINGS_MOST_PER_S = 2.0  # changes of settings: reloads that come together are one, and could not be told apart
 
 
 class ScenarioError(ValueError):
@@ -131,6 +132,8 @@
     _need(0.0 <= scenario.requests_most_per_s <= 200.0, "requests_most_per_s", "must be from 0 to 200")
     _check_load(scenario, scenario.load, {})
     for planned in plan(scenario):
+        _need(planned.sweep != SETTINGS_SWEEP or planned.load.changes_per_s <= SETTINGS_MOST_PER_S,
+              f"sweeps.{SETTINGS_SWEEP}", f"must be at most {SETTINGS_MOST_PER_S:g}")
         _check_load(scenario, planned.load, {swept_key(planned.sweep): f"sweeps.{planned.sweep}"})
     _need(bool(list(plan(scenario))), "sweeps", "names no point")
 
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -17,7 +17,7 @@
 from click.testing import CliRunner
 
 from gaphub.cli import gaphub
-from gaphub.counts import ALL, MOST, Ledger, decode, short
+from gaphub.counts import ALL, CHANGE, MOST, Ledger, decode, short
 from gaphub.lab.scale import runner
 from gaphub.lab.scale.discovery import Registry
 from gaphub.lab.scale.hollow import HollowFleet, HollowPlan, HollowScheduler, worker_name, worker_number
@@ -66,6 +66,7 @@
     ("load.zones=0", "load.zones"),
     ("sweeps.schedulers=[6, 1]", "sweeps.schedulers"),
     ("sweeps.settings_changes_per_s=[-1.0]", "sweeps.settings_changes_per_s"),
+    ("sweeps.settings_changes_per_s=[5.0]", "sweeps.settings_changes_per_s"),
     ("sweeps={}", "sweeps"),
     ("real_schedulers=1", "real_schedulers"),
     ("real_schedulers=9", "real_schedulers"),
@@ -193,7 +194,7 @@
     fleet, said = _play(_plan(schedulers, 200.0, 3_000), 4.0)
     ledger, now = Ledger(schedulers - 1), 4_000.0
     for i, one in enumerate(fleet.schedulers):  # the ends that still wait for company
-        said += [(now, i, data) for data in one.say(now, what=0)]
+        said += [(now, i, data) for data in one.say(now, CHANGE)]
     beats = 0
     for at, i, data in said:
         if data[0] == BEAT:
@@ -383,10 +384,14 @@
         sent = Sent(0.0, 0.0, 0, 0, 9, 0, 0, 0), Sent(10.0, covered, 90, 90, 9, 1_000, 9_000, 0)
         return runner.Window(10.0, [spent], sent, dropped)
 
-    assert runner.unsound(window(9.9, 990)) == ""
-    assert "played 9.00 s of 10.00 s" in runner.unsound(window(9.0, 990))
-    assert "900 of the hollow schedulers' 1000" in runner.unsound(window(9.9, 900))
-    assert "3 datagrams found a full mailbox" in runner.unsound(window(9.9, 990, 3))
+    assert runner.unsound(window(9.9, 990), 7) == ""
+    assert "played 9.00 s of 10.00 s" in runner.unsound(window(9.0, 990), 7)
+    assert "900 of the hollow schedulers' 1000" in runner.unsound(window(9.9, 900), 7)
+    # Of 1,000 for each of two, 900 came to each and 90 more from the other real one.
+    spent = Measured("n0", 0.1, 60.0, 0, 0, 990, 90 * 6, 0, 0, 0)
+    sent = Sent(0.0, 0.0, 0, 0, 9, 0, 0, 0), Sent(10.0, 10.0, 90, 90, 9, 1_000, 9_000, 0)
+    assert "1800 of the hollow schedulers' 2000" in runner.unsound(runner.Window(10.0, [spent] * 2, sent, 0), 7)
+    assert "3 datagrams found a full mailbox" in runner.unsound(window(9.9, 990, 3), 7)
 
 
 # --- every process is ended --------------------------------------------------------------------------
