--- a/gaphub/lab/scale/commands.py
+++ b/gaphub/lab/scale/commands.py
@@ -75,7 +75,7 @@
                 progress.update(bar, description=_name(planned))
             else:
                 progress.advance(bar)
-                progress.console.print(f"{_name(planned)}: {_line(point)}")
+                progress.console.print(f"{_name(planned)}: {_line(point)}", soft_wrap=True)
 
         return asyncio.run(run(name, scenario, out, tell))
 
