HTTP front: the module becomes a package, its text as it was

Need: 1,129 lines own sessions, pools, calls and probes; each is to have a module of its own. Nothing else.

--- a/gaphub/net/http.py
+++ b/gaphub/net/http/__init__.py
@@ -19,10 +19,10 @@
 import h11
 import msgspec
 
-from ..config import GARBLED, Address, Config, address
-from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Outcome, Tasks
-from ..interface import Effect, Status
-from ..metrics import Counters
+from ...config import GARBLED, Address, Config, address
+from ...core import Answer, Call, Core, Destination, Ending, Fence, Job, Outcome, Tasks
+from ...interface import Effect, Status
+from ...metrics import Counters
 
 Header = tuple[bytes, bytes]
 BODY_MOST = 64 * 1024
