HTTP front: the tunables in a module of their own, read at the time of use

Need: modules that are about to part share them, and tests set them on gaphub.net.http. Change: tunables.py has them; the code reads tunables.X. What is set on the package is handed on to that module, so that every test sets them as before.

--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -11,9 +11,11 @@
 import math
 import re
 import socket
+import sys
 import zlib
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import suppress
+from types import ModuleType
 from typing import Any
 
 import h11
@@ -23,45 +25,63 @@
 from ...core import Answer, Call, Core, Destination, Ending, Fence, Job, Outcome, Tasks
 from ...interface import Effect, Status
 from ...metrics import Counters
+from . import tunables
+from .tunables import (
+    BACKLOG,
+    BODIES_PART,
+    BODY_MOST,
+    DROP_S,
+    FRESH_S,
+    HOLD_S,
+    IDLE_LEAVING_S,
+    IDLE_PART,
+    INBOUND_PART,
+    LEAVE_AIMS,
+    LEAVE_LEAST_MS,
+    LEAVE_MORE_MS,
+    LEAVE_MOST_MS,
+    LEAVE_RETURN_MS,
+    LEAVE_SLACK_MS,
+    LINE_MOST,
+    LINGER_ERROR_S,
+    LINGER_MOST,
+    LINGER_S,
+    OUTBOUND_PART,
+    PROBE_S,
+    READ,
+    REAP_S,
+    RECEIVE,
+    REQUEST_S,
+    STALE,
+    STALE_STEP,
+    TAIL_S,
+    TAKE_S,
+    TRAVEL_MS,
+    YIELD_MS,
+)
+
+__all__ = [
+    "BACKLOG", "BODIES_PART", "BODY_MOST", "BadRequestError", "ConnectionLostError", "DROP_S", "EarlyAnswerError",
+    "Ears", "FRESH_S", "HOLD_S", "IDLE_LEAVING_S", "IDLE_PART", "INBOUND_PART", "Inbound", "LEAVE_AIMS",
+    "LEAVE_LEAST_MS", "LEAVE_MORE_MS", "LEAVE_MOST_MS", "LEAVE_RETURN_MS", "LEAVE_SLACK_MS", "LINE_MOST",
+    "LINGER_ERROR_S", "LINGER_MOST", "LINGER_S", "Line", "NeverWrittenError", "OUTBOUND_PART", "Outbound",
+    "PROBE_S", "Pool", "READ", "REAP_S", "RECEIVE", "REQUEST_S", "STALE", "STALE_STEP", "StoppedError", "TAIL_S",
+    "TAKE_S", "TRAVEL_MS", "Visitor", "Wire", "YIELD_MS", "check_head", "parse_job", "parse_key", "parse_load",
+    "passed_on",
+]
 
 Header = tuple[bytes, bytes]
-BODY_MOST = 64 * 1024
-LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
-READ = 64 * 1024
-INBOUND_PART = 0.5  # of the descriptors, for clients; those with requests hold up to a third
-OUTBOUND_PART = 0.4  # and for workers
-BODIES_PART = 0.08  # of the memory, for bodies that are still coming
-RECEIVE = 32 * 1024  # bytes of a connection that wait to be read
-BACKLOG = 512  # connections that wait to be accepted
-FRESH_S = 1.5  # from a connection's start to the end of its first good request
-YIELD_MS = (100.0, 250.0, 1000.0)  # waiting so long, a connection makes room: see Visitor.may_yield
-REQUEST_S = 2.0  # from a later request's first byte to its last
-TAKE_S = 10.0  # for a client to take an answer
-LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
-LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
-# A client that has sent BODY_MOST past its open request is read on, so that its leaving is seen behind what it
-# sent, but what comes is dropped: a chunk in so long, over all such clients together.
-DROP_S = 0.001
-HOLD_S = 0.004  # a job's last byte is held back for so long; a connection that is dead shows it by then
-# Workers may end a kept connection when the next request has come in whole, and then that may have run.
-# A never-twice job takes a new connection while more than this share of the kept ones ends so.
-STALE = 0.03
-STALE_STEP = 0.05  # share; how fast the view of that share moves with each request on a kept connection
-PROBE_S = 0.2
-IDLE_PART = 0.5  # of the time after which the worker's machine closes an idle connection
-TAIL_S = 1.0  # for the end of an answer whose result is in
-TRAVEL_MS = 5.0  # what a client's clock may be ahead of ours when its first byte is read
-LINGER_S = 0.45  # after SIGTERM new connections go on coming for so long
-# From SIGTERM to SIGKILL is at least the longest deadline, counted as LEAVE_MOST_MS where it is longer, and
-# LEAVE_MORE_MS; who asks later than that second time must have an answer by then.
-LEAVE_MOST_MS = 3000.0
-LEAVE_MORE_MS = 700.0
-LEAVE_SLACK_MS = 250.0  # an answer is out so long before
-LEAVE_LEAST_MS = 1000.0  # with less time left nothing new is begun
-LEAVE_AIMS = 1.5  # of a never-twice class's aim; with less time left its job had better not begin
-LEAVE_RETURN_MS = 500.0
-IDLE_LEAVING_S = 0.3  # a connection idle for so long then is closed; a newer one may hold a request
-REAP_S = 1.0
+
+class _Package(ModuleType):
+    """Hands a tunable that is set on the package, as a test does, to the module that the code reads it from."""
+
+    def __setattr__(self, name: str, value: object) -> None:
+        super().__setattr__(name, value)
+        if hasattr(tunables, name):
+            setattr(tunables, name, value)
+
+
+sys.modules[__name__].__class__ = _Package
 
 
 class ConnectionLostError(Exception):
@@ -167,8 +187,8 @@
         data = self._render(method, target, headers, body)
         await self._write(data[:-1])
         try:
-            async with asyncio.timeout(HOLD_S):
-                early = await self.reader.read(READ)
+            async with asyncio.timeout(tunables.HOLD_S):
+                early = await self.reader.read(tunables.READ)
         except TimeoutError:
             return data[-1:]
         except OSError:
@@ -211,7 +231,7 @@
             try:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    data = await self.reader.read(READ)
+                    data = await self.reader.read(tunables.READ)
                     self.heard = self.heard or bool(data)
                     self.http.receive_data(data)
                     continue
@@ -221,7 +241,7 @@
                 raise ConnectionLostError("closed")
             return event
 
-    async def body(self, most: int = LINE_MOST) -> bytes:
+    async def body(self, most: int = tunables.LINE_MOST) -> bytes:
         """The rest of an answer's body."""
         parts = bytearray()
         while not isinstance(event := await self.event(), h11.EndOfMessage):
@@ -301,8 +321,8 @@
         self.core = core
         self.counters = counters
         self.connect_s = config.settings.connect_timeout_ms / 1000.0
-        self.idle_ms = config.conn_idle_ms * IDLE_PART
-        self.sockets = int(config.limits.sockets * OUTBOUND_PART)
+        self.idle_ms = config.conn_idle_ms * tunables.IDLE_PART
+        self.sockets = int(config.limits.sockets * tunables.OUTBOUND_PART)
         self.report_fields = config.report_fields
         self.service = f"{config.listen[0]}:{config.listen[1]}".encode()
         self.stale = 0.0  # the share of kept connections that end under the next request
@@ -320,7 +340,7 @@
     async def run(self) -> None:
         """Close idle connections well before the other side does."""
         while True:
-            await asyncio.sleep(REAP_S)
+            await asyncio.sleep(tunables.REAP_S)
             for pool in self.pools.values():
                 pool.close_idle(self.core.clock.now() - self.idle_ms)
 
@@ -364,7 +384,7 @@
         status, report = Status.CONNECT_FAILED, ()
         wire: Wire | None = None
         try:
-            async with asyncio.timeout(PROBE_S):
+            async with asyncio.timeout(tunables.PROBE_S):
                 while wire is None:
                     status = Status.CONNECT_FAILED
                     wire = await pool.take()
@@ -425,7 +445,7 @@
             async with asyncio.timeout((call.ends - self.core.clock.now()) / 1000.0):
                 outcome.status = Status.CONNECT_FAILED
                 while not call.written:
-                    wire = await pool.take(self._once(call) and self.stale > STALE)
+                    wire = await pool.take(self._once(call) and self.stale > tunables.STALE)
                     kept = wire.used
                     self._ask(self.core.may_go_on(call))
                     call.begun_at = self.core.clock.now()
@@ -440,7 +460,7 @@
                         if isinstance(error, EarlyAnswerError):
                             # Guards against one that says half a line before its turn, and no more: the request
                             # would wait for it until its deadline, though nothing of it is out.
-                            async with asyncio.timeout(TAIL_S):
+                            async with asyncio.timeout(tunables.TAIL_S):
                                 early = await self._outcome(call, wire)
                             outcome.status = Status.FULL if early.status == Status.FULL else outcome.status
                             outcome.report = early.report
@@ -483,7 +503,7 @@
         await self.core.post(lambda: self.core.ended(call, outcome))
         if wire is not None and keep:
             try:
-                async with asyncio.timeout(TAIL_S):
+                async with asyncio.timeout(tunables.TAIL_S):
                     if wire.http.their_state is h11.SEND_BODY:
                         await wire.body()
             except (ConnectionLostError, TimeoutError):
@@ -504,7 +524,7 @@
         """Note how a kept connection was found: whether it ended under the next request, unheard."""
         if stale:
             self.counters.add("connections.stale")
-        self.stale += (stale - self.stale) * STALE_STEP
+        self.stale += (stale - self.stale) * tunables.STALE_STEP
 
     async def _begin(self, call: Call, wire: Wire) -> bytes:
         job = call.job
@@ -552,7 +572,7 @@
             if not isinstance(event, h11.Data):
                 continue
             *lines, rest = (rest + bytes(event.data)).split(b"\n")
-            if len(rest) > LINE_MOST:
+            if len(rest) > tunables.LINE_MOST:
                 raise ConnectionLostError("line too long")
             for text in lines:
                 if text.strip():
@@ -610,7 +630,7 @@
         if names.count(name) > 1:
             raise BadRequestError(400, f"{name.decode()} comes twice")
     if dict(event.headers).get(b"content-length", b"0").isdigit():
-        if int(dict(event.headers).get(b"content-length", b"0")) > BODY_MOST:
+        if int(dict(event.headers).get(b"content-length", b"0")) > tunables.BODY_MOST:
             raise BadRequestError(413, "body over 64 KiB")
 
 
@@ -635,7 +655,7 @@
             if not re.fullmatch(r"\d{1,9}(\.\d{1,9})?", value):
                 raise BadRequestError(400, "X-Attrs")
             extras[name] = float(value)
-    return Job(ident.decode(), class_index, received_at, left_ms - TRAVEL_MS, reply, body,
+    return Job(ident.decode(), class_index, received_at, left_ms - tunables.TRAVEL_MS, reply, body,
                event.method.decode(), event.target.decode(), parse_key(headers.get(b"cookie", b"")),
                extras["slots"] or 1.0, extras["memory"], headers.get(b"x-retried") == b"1",
                passed=passed_on(event))
@@ -711,7 +731,7 @@
 
     async def read(self) -> bytes:
         """What has come, as soon as anything has; empty at the end."""
-        data = await self.reader.read(READ)
+        data = await self.reader.read(tunables.READ)
         self.taken += len(data)
         return data
 
@@ -741,10 +761,10 @@
         """
         if self.waits is None or self.unread:
             return None
-        if self.writer.transport.get_write_buffer_size() and now - self.waits < TAKE_S * 1000.0:
+        if self.writer.transport.get_write_buffer_size() and now - self.waits < tunables.TAKE_S * 1000.0:
             return None  # its answer is still being taken
         place = 2 if self.served else 1 if self.asked else 0
-        return (place, self.waits) if now - self.waits >= YIELD_MS[place] else None
+        return (place, self.waits) if now - self.waits >= tunables.YIELD_MS[place] else None
 
 
 class Inbound:
@@ -758,8 +778,8 @@
         self.listen = listen or config.listen
         self.shared = config.admin is not None  # upgrades: two processes listen at once
         self.fence = fence
-        self.room = max(1, int(config.limits.sockets * INBOUND_PART * part))
-        self.bodies = int(config.limits.memory_mb * 1e6 * BODIES_PART * part)  # bytes, together
+        self.room = max(1, int(config.limits.sockets * tunables.INBOUND_PART * part))
+        self.bodies = int(config.limits.memory_mb * 1e6 * tunables.BODIES_PART * part)  # bytes, together
         self.visitors: dict[int, Visitor] = {}
         self.open_ids: set[str] = set()
         self.leaving = False
@@ -783,9 +803,9 @@
         if self.shared:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         # Inherited by connections: bounds what one that sends without end may have in our memory.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, tunables.RECEIVE)
         listener.bind(found[0][4])
-        listener.listen(BACKLOG)
+        listener.listen(tunables.BACKLOG)
         self._accepting = self._tasks.start(self._accept(listener))
 
     async def _stop_accepting(self) -> None:
@@ -820,19 +840,20 @@
         # Of the classes in force: rows of others are kept for open jobs, and SIGKILL does not wait for those.
         longest = max(self.core.settings.classes[row].deadline_ms for row in self.core.table.live.values())
         self.told_at = now()
-        self.ends_at = self.told_at + min(longest, LEAVE_MOST_MS) + LEAVE_MORE_MS - LEAVE_SLACK_MS
+        killed_at = self.told_at + min(longest, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS
+        self.ends_at = killed_at - tunables.LEAVE_SLACK_MS
         if successor:
             self.leaving = True
             await self._stop_accepting()
         else:
-            await asyncio.sleep(LINGER_S)
+            await asyncio.sleep(tunables.LINGER_S)
         while (successor and self.visitors or not (successor or others_serve())) \
-                and now() < self.ends_at - LEAVE_LEAST_MS:
+                and now() < self.ends_at - tunables.LEAVE_LEAST_MS:
             await asyncio.sleep(0.02)
         self.leaving = True
         while True:
             while self.visitors or self.core.open_jobs:
-                self._close_resting(self.core.clock.now() - IDLE_LEAVING_S * 1000.0)
+                self._close_resting(self.core.clock.now() - tunables.IDLE_LEAVING_S * 1000.0)
                 await asyncio.sleep(0.02)
             if self._listener is None:
                 return
@@ -875,7 +896,7 @@
     async def _take_in(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
-            reader = asyncio.StreamReader(limit=RECEIVE)
+            reader = asyncio.StreamReader(limit=tunables.RECEIVE)
             protocol = Ears(reader, self.core.clock.now)
             transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
         except OSError:
@@ -912,7 +933,7 @@
             visitor.waits, visitor.asked, visitor.served = self.core.clock.now(), False, False
             writer.close()
             with suppress(OSError, TimeoutError, asyncio.CancelledError):
-                async with asyncio.timeout(TAKE_S):
+                async with asyncio.timeout(tunables.TAKE_S):
                     await writer.wait_closed()
             writer.transport.abort()
             del self.visitors[number]
@@ -945,19 +966,19 @@
     @staticmethod
     async def _linger(visitor: Visitor) -> None:
         """Let an error reach a client that still sends: a close with bytes unread would take it back."""
-        left = LINGER_MOST
+        left = tunables.LINGER_MOST
         visitor.waits = visitor.waits or 0.0  # from here on it may make room at once
         with suppress(OSError, TimeoutError):
             visitor.writer.write_eof()
-            async with asyncio.timeout(LINGER_ERROR_S):
+            async with asyncio.timeout(tunables.LINGER_ERROR_S):
                 while left > 0 and (data := await visitor.read()):
                     left -= len(data)
 
     def _until(self, visitor: Visitor, received_at: float) -> float | None:
         """Until when the next bytes must come; None: there is no hurry."""
         if not visitor.asked:
-            return visitor.since + FRESH_S * 1000.0
-        return received_at + REQUEST_S * 1000.0 if received_at else None
+            return visitor.since + tunables.FRESH_S * 1000.0
+        return received_at + tunables.REQUEST_S * 1000.0 if received_at else None
 
     async def _read(self, http: h11.Connection, visitor: Visitor) -> tuple[h11.Request, bytes, float] | None:
         """The next whole request; None when the client closes."""
@@ -994,7 +1015,7 @@
                 elif isinstance(event, h11.Data):
                     body += event.data
                     self.bodies -= len(event.data)
-                    if len(body) > BODY_MOST:
+                    if len(body) > tunables.BODY_MOST:
                         raise BadRequestError(413, "body over 64 KiB")
                     if self.bodies < 0:
                         raise BadRequestError(503, "no room for bodies")
@@ -1033,7 +1054,7 @@
                     self.counters.add("requests.fenced")
                     future.set_result(self.core.turn_away(job, job.fence.return_ms if job.fence else 0.0))
                 elif not self._may_begin(job):
-                    future.set_result(self.core.turn_away(job, LEAVE_RETURN_MS))
+                    future.set_result(self.core.turn_away(job, tunables.LEAVE_RETURN_MS))
                 elif not self.core.offer(job):
                     future.set_result(self.core.turn_away(job))
                 answer = await self._wait(job, future, http, visitor)
@@ -1048,10 +1069,10 @@
 
     def _may_begin(self, job: Job) -> bool:
         """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
-        if job.received_at > self.told_at + LEAVE_MORE_MS - LEAVE_SLACK_MS:
+        if job.received_at > self.told_at + tunables.LEAVE_MORE_MS - tunables.LEAVE_SLACK_MS:
             job.left_ms = min(job.left_ms, self.ends_at - job.received_at)
             cls = self.core.settings.classes[job.class_index]
-            return cls.effect == Effect.SAFE or job.left_ms >= LEAVE_AIMS * cls.aim_ms
+            return cls.effect == Effect.SAFE or job.left_ms >= tunables.LEAVE_AIMS * cls.aim_ms
         return True
 
     async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
@@ -1072,13 +1093,13 @@
                     await self.core.post(lambda: self.core.gone(job))
                     return None
                 early += len(data)
-                if early <= BODY_MOST:
+                if early <= tunables.BODY_MOST:
                     http.receive_data(data)  # of the next request; the client may still leave
                 elif not visitor.flooded:
                     visitor.flooded = True
                     self._flooding += 1
                 if visitor.flooded:
-                    await asyncio.wait([future], timeout=DROP_S * self._flooding)
+                    await asyncio.wait([future], timeout=tunables.DROP_S * self._flooding)
                 read = asyncio.ensure_future(visitor.read())
         except asyncio.CancelledError:
             await self.core.post(lambda: self.core.gone(job))
@@ -1101,7 +1122,7 @@
             data += http.send(h11.Data(data=body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        async with asyncio.timeout(TAKE_S):
+        async with asyncio.timeout(tunables.TAKE_S):
             await writer.drain()
 
 
--- /dev/null
+++ b/gaphub/net/http/tunables.py
@@ -0,0 +1,43 @@
+"""Owns the tunables of the HTTP front: its times, sizes and shares, each with its unit.
+
+Whoever uses one reads it here at the time of use (``tunables.HOLD_S``), so that a test may set another value.
+It must never hold what an operator sets (that is in gaphub/config.py), nor anything that changes by itself.
+"""
+
+BODY_MOST = 64 * 1024
+LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
+READ = 64 * 1024
+INBOUND_PART = 0.5  # of the descriptors, for clients; those with requests hold up to a third
+OUTBOUND_PART = 0.4  # and for workers
+BODIES_PART = 0.08  # of the memory, for bodies that are still coming
+RECEIVE = 32 * 1024  # bytes of a connection that wait to be read
+BACKLOG = 512  # connections that wait to be accepted
+FRESH_S = 1.5  # from a connection's start to the end of its first good request
+YIELD_MS = (100.0, 250.0, 1000.0)  # waiting so long, a connection makes room: see Visitor.may_yield
+REQUEST_S = 2.0  # from a later request's first byte to its last
+TAKE_S = 10.0  # for a client to take an answer
+LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
+LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
+# A client that has sent BODY_MOST past its open request is read on, so that its leaving is seen behind what it
+# sent, but what comes is dropped: a chunk in so long, over all such clients together.
+DROP_S = 0.001
+HOLD_S = 0.004  # a job's last byte is held back for so long; a connection that is dead shows it by then
+# Workers may end a kept connection when the next request has come in whole, and then that may have run.
+# A never-twice job takes a new connection while more than this share of the kept ones ends so.
+STALE = 0.03
+STALE_STEP = 0.05  # share; how fast the view of that share moves with each request on a kept connection
+PROBE_S = 0.2
+IDLE_PART = 0.5  # of the time after which the worker's machine closes an idle connection
+TAIL_S = 1.0  # for the end of an answer whose result is in
+TRAVEL_MS = 5.0  # what a client's clock may be ahead of ours when its first byte is read
+LINGER_S = 0.45  # after SIGTERM new connections go on coming for so long
+# From SIGTERM to SIGKILL is at least the longest deadline, counted as LEAVE_MOST_MS where it is longer, and
+# LEAVE_MORE_MS; who asks later than that second time must have an answer by then.
+LEAVE_MOST_MS = 3000.0
+LEAVE_MORE_MS = 700.0
+LEAVE_SLACK_MS = 250.0  # an answer is out so long before
+LEAVE_LEAST_MS = 1000.0  # with less time left nothing new is begun
+LEAVE_AIMS = 1.5  # of a never-twice class's aim; with less time left its job had better not begin
+LEAVE_RETURN_MS = 500.0
+IDLE_LEAVING_S = 0.3  # a connection idle for so long then is closed; a newer one may hold a request
+REAP_S = 1.0
