--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -26,6 +26,7 @@
 from ...metrics import Counters
 from . import tunables
 from .request import BadRequestError, check_head, parse_job, parse_key, passed_on
+from .session import Ears, Visitor
 from .tunables import (
     BACKLOG,
     BODIES_PART,
@@ -599,88 +600,6 @@
 _ANSWERS = {Ending.SERVED: 200, Ending.REFUSED: 503, Ending.FAILED: 502}
 
 
-class Ears(asyncio.StreamReaderProtocol):
-    """An inbound connection's protocol, which notes when its client left though bytes before that are unread."""
-
-    def __init__(self, reader: asyncio.StreamReader, now: Callable[[], float]) -> None:
-        super().__init__(reader)
-        self.now = now
-        self.left_at = 0.0
-        self.heard = 0  # bytes that have come
-
-    def data_received(self, data: bytes) -> None:
-        """Bytes have come; whoever reads them has yet to be woken."""
-        self.heard += len(data)
-        super().data_received(data)
-
-    def eof_received(self) -> bool | None:
-        """The client has ended its sending: it has gone away."""
-        self.left_at = self.left_at or self.now()
-        return super().eof_received()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The connection is lost, or we have closed it."""
-        self.left_at = self.left_at or self.now()
-        super().connection_lost(exc)
-
-
-class Visitor:
-    """One inbound connection; its handler task is its owner."""
-
-    __slots__ = ("reader", "writer", "ears", "since", "waits", "asked", "served", "yielded", "halfway", "flooded",
-                 "taken")
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ears: Ears, now: float) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.ears = ears
-        self.since = now  # when it was accepted
-        self.waits: float | None = now  # since when the client is to send something; None: we are at work
-        self.asked = False  # has carried a whole good request
-        self.served = False  # has carried a job
-        self.yielded = False  # was made to go, and is about to
-        self.halfway = False  # a request has begun to come and is not whole
-        self.flooded = False  # sent so much past a request that it was dropped; an answer, and it ends
-        self.taken = 0  # bytes that were read from it
-
-    async def read(self) -> bytes:
-        """What has come, as soon as anything has; empty at the end."""
-        data = await self.reader.read(tunables.READ)
-        self.taken += len(data)
-        return data
-
-    @property
-    def unread(self) -> bool:
-        """Whether bytes have come to this process that its handler has yet to read."""
-        return self.ears.heard > self.taken
-
-    def left(self) -> float:
-        """Since when the client is known to have closed its side or the connection to be lost; 0: it is there."""
-        return self.ears.left_at
-
-    def may_close(self, before: float) -> bool:
-        """Whether nothing is on its way on a connection that has waited since before a time.
-
-        Guards against an answer that is still being taken, or a request that is half here or whole and not
-        looked at yet, when we leave: what this process has read is owed an answer.
-        """
-        return (self.waits is not None and self.waits < before and not self.halfway and not self.unread
-                and not self.writer.transport.get_write_buffer_size())
-
-    def may_yield(self, now: float) -> tuple[int, float] | None:
-        """Its place among those that make room for a newcomer, the least first; None: it stays.
-
-        Guards against crowds that hold connections and send nothing, or asked once and stay: without this
-        they filled the clients' part, and jobs were refused for want of a connection.
-        """
-        if self.waits is None or self.unread:
-            return None
-        if self.writer.transport.get_write_buffer_size() and now - self.waits < tunables.TAKE_S * 1000.0:
-            return None  # its answer is still being taken
-        place = 2 if self.served else 1 if self.asked else 0
-        return (place, self.waits) if now - self.waits >= tunables.YIELD_MS[place] else None
-
-
 class Inbound:
     """The clients' side: one handler for each connection, one request at a time on each."""
 
