--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -25,6 +25,7 @@
 from ...interface import Effect, Status
 from ...metrics import Counters
 from . import tunables
+from .connection import ConnectionLostError, EarlyAnswerError, NeverWrittenError, Wire
 from .request import BadRequestError, check_head, parse_job, parse_key, passed_on
 from .session import Ears, Visitor
 from .tunables import (
@@ -71,8 +72,6 @@
     "passed_on",
 ]
 
-Header = tuple[bytes, bytes]
-
 class _Package(ModuleType):
     """Hands a tunable that is set on the package, as a test does, to the module that the code reads it from."""
 
@@ -85,14 +84,6 @@
 sys.modules[__name__].__class__ = _Package
 
 
-class ConnectionLostError(Exception):
-    """The connection broke or ended where an answer was owed."""
-
-
-class NeverWrittenError(Exception):
-    """The request's last byte was not written."""
-
-
 class StoppedError(Exception):
     """The core's rules stopped a call before its last byte was written; ``status``: what it ends in."""
 
@@ -101,10 +92,6 @@
         self.status = status
 
 
-class EarlyAnswerError(NeverWrittenError):
-    """The other side spoke before the request's last byte was written."""
-
-
 class Line(msgspec.Struct):
     """One line of a worker's answer."""
 
@@ -136,134 +123,6 @@
         return ()
 
 
-class Wire:
-    """One outbound connection; ``close`` is the one place where it is given back."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.http = h11.Connection(h11.CLIENT)
-        self.idle_since = 0.0
-        self.used = False
-        self.heard = False  # whether anything of the present answer has come
-        writer.transport.set_write_buffer_limits(high=0)
-
-    @classmethod
-    async def connect(cls, to: Address, within_s: float) -> Wire:
-        """A new connection; ConnectionLostError if it does not come up in time."""
-        try:
-            async with asyncio.timeout(within_s):
-                return cls(*await asyncio.open_connection(*to))
-        except (OSError, TimeoutError) as error:
-            raise ConnectionLostError(str(error)) from None
-
-    @property
-    def usable(self) -> bool:
-        """Whether another request may be written."""
-        return not (self.reader.at_eof() or self.writer.transport.is_closing())
-
-    async def quiet(self) -> bool:
-        """Whether nothing has come on it since its last answer."""
-        self.heard = False
-        try:
-            async with asyncio.timeout(0.0):
-                await self.reader.read(1)
-        except TimeoutError:
-            return True
-        except OSError:
-            pass
-        return False
-
-    async def send(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> None:
-        """Write a whole request; NeverWrittenError if its last byte did not leave."""
-        await self._write(self._render(method, target, headers, body))
-
-    async def begin(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> bytes:
-        """Write a request but for its last byte, which is given back for ``finish``, and wait a moment.
-
-        Guards against connections that the other side resets when the next request comes: written in one
-        go such a request may have run, and a never-twice one failed.  So the reset is here before the last
-        byte, and NeverWrittenError says that it did not run.
-        """
-        data = self._render(method, target, headers, body)
-        await self._write(data[:-1])
-        try:
-            async with asyncio.timeout(tunables.HOLD_S):
-                early = await self.reader.read(tunables.READ)
-        except TimeoutError:
-            return data[-1:]
-        except OSError:
-            raise NeverWrittenError from None
-        if not early:
-            raise NeverWrittenError
-        self.http.receive_data(early)
-        raise EarlyAnswerError
-
-    async def finish(self, last: bytes) -> None:
-        """Write a request's last byte."""
-        await self._write(last)
-
-    def _render(self, method: str, target: str, headers: Iterable[Header], body: bytes) -> bytes:
-        if self.used:
-            self.http.start_next_cycle()
-        self.used = True
-        self.heard = False
-        head = self.http.send(h11.Request(method=method, target=target, headers=list(headers))) or b""
-        content = self.http.send(h11.Data(data=body)) if body else b""
-        self.http.send(h11.EndOfMessage())
-        return head + (content or b"")
-
-    async def _write(self, data: bytes) -> None:
-        """Hand bytes to the socket, all of them."""
-        if not self.usable:
-            raise NeverWrittenError
-        self.writer.write(data)
-        try:
-            if self.writer.transport.is_closing():
-                raise NeverWrittenError
-            while self.writer.transport.get_write_buffer_size():
-                await self.writer.drain()
-        except OSError:
-            raise NeverWrittenError from None
-
-    async def event(self) -> Any:
-        """The next h11 event of the answer; ConnectionLostError if there will be none."""
-        while True:
-            try:
-                event = self.http.next_event()
-                if event is h11.NEED_DATA:
-                    data = await self.reader.read(tunables.READ)
-                    self.heard = self.heard or bool(data)
-                    self.http.receive_data(data)
-                    continue
-            except (OSError, h11.RemoteProtocolError) as error:
-                raise ConnectionLostError(str(error)) from None
-            if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionLostError("closed")
-            return event
-
-    async def body(self, most: int = tunables.LINE_MOST) -> bytes:
-        """The rest of an answer's body."""
-        parts = bytearray()
-        while not isinstance(event := await self.event(), h11.EndOfMessage):
-            if isinstance(event, h11.Data):
-                parts += event.data
-                if len(parts) > most:
-                    raise ConnectionLostError("answer too long")
-        return bytes(parts)
-
-    @property
-    def reusable(self) -> bool:
-        """Whether the last exchange ended so that the next may follow."""
-        if self.http.trailing_data[0]:
-            return False  # it said more than it was asked
-        return self.usable and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-
-    def close(self) -> None:
-        """Close; what was not read is lost."""
-        self.writer.transport.abort()
-
-
 class Pool:
     """Owns the connections to one destination."""
 
