HTTP front: the pools and their room are a module

Pool moved as it was. What the port of the destinations did for all pools at once (the room for sockets, making room, the reaper) is Pools; the port's pools are one of these, with values() as the map had.

--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -26,6 +26,7 @@
 from ...metrics import Counters
 from . import tunables
 from .connection import ConnectionLostError, EarlyAnswerError, NeverWrittenError, Wire
+from .pool import Pool, Pools
 from .request import BadRequestError, check_head, parse_job, parse_key, passed_on
 from .session import Ears, Visitor
 from .tunables import (
@@ -67,9 +68,9 @@
     "Ears", "FRESH_S", "HOLD_S", "IDLE_LEAVING_S", "IDLE_PART", "INBOUND_PART", "Inbound", "LEAVE_AIMS",
     "LEAVE_LEAST_MS", "LEAVE_MORE_MS", "LEAVE_MOST_MS", "LEAVE_RETURN_MS", "LEAVE_SLACK_MS", "LINE_MOST",
     "LINGER_ERROR_S", "LINGER_MOST", "LINGER_S", "Line", "NeverWrittenError", "OUTBOUND_PART", "Outbound",
-    "PROBE_S", "Pool", "READ", "REAP_S", "RECEIVE", "REQUEST_S", "STALE", "STALE_STEP", "StoppedError", "TAIL_S",
-    "TAKE_S", "TRAVEL_MS", "Visitor", "Wire", "YIELD_MS", "check_head", "parse_job", "parse_key", "parse_load",
-    "passed_on",
+    "PROBE_S", "Pool", "Pools", "READ", "REAP_S", "RECEIVE", "REQUEST_S", "STALE", "STALE_STEP", "StoppedError",
+    "TAIL_S", "TAKE_S", "TRAVEL_MS", "Visitor", "Wire", "YIELD_MS", "check_head", "parse_job", "parse_key",
+    "parse_load", "passed_on",
 ]
 
 class _Package(ModuleType):
@@ -123,104 +124,31 @@
         return ()
 
 
-class Pool:
-    """Owns the connections to one destination."""
-
-    def __init__(self, to: Address, owner: Outbound) -> None:
-        self.to = to
-        self.owner = owner
-        self.idle: list[Wire] = []
-
-    async def take(self, fresh: bool = False) -> Wire:
-        """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
-        while self.idle and not fresh:
-            wire = self.idle.pop()
-            # Guards against settings whose idle time is no longer than the pause between two rounds of the
-            # reaper: the worker's machine has closed such a connection, or is about to.
-            if wire.usable and wire.idle_since >= self.owner.core.clock.now() - self.owner.idle_ms:
-                return wire
-            self.drop(wire)
-        if self.owner.sockets <= 0:
-            self.owner.make_room()
-        if self.owner.sockets <= 0:
-            raise ConnectionLostError("out of sockets")
-        self.owner.sockets -= 1
-        try:
-            wire = await Wire.connect(self.to, self.owner.connect_s)
-        except BaseException:
-            self.owner.sockets += 1
-            raise
-        self.owner.counters.add("connections.outbound")
-        return wire
-
-    def give_back(self, wire: Wire, now: float) -> None:
-        """The one place where a connection comes back: kept if it may be used again."""
-        if wire.reusable and self.owner.pools.get(self.to) is self:
-            wire.idle_since = now
-            self.idle.append(wire)
-        else:
-            self.drop(wire)
-
-    def drop(self, wire: Wire) -> None:
-        """Close a connection."""
-        wire.close()
-        self.owner.sockets += 1
-
-    def close_idle(self, before: float = 1e18) -> None:
-        """Close what has been idle since before a time, and what the other side closed."""
-        old = [w for w in self.idle if w.idle_since < before or not w.usable]
-        self.idle = [w for w in self.idle if w not in old]
-        for wire in old:
-            self.drop(wire)
-
-
 class Outbound:
     """Calls and probes; the port of the destinations that discovery names."""
 
     def __init__(self, config: Config, core: Core, counters: Counters) -> None:
         self.core = core
         self.counters = counters
-        self.connect_s = config.settings.connect_timeout_ms / 1000.0
-        self.idle_ms = config.conn_idle_ms * tunables.IDLE_PART
-        self.sockets = int(config.limits.sockets * tunables.OUTBOUND_PART)
         self.report_fields = config.report_fields
         self.service = f"{config.listen[0]}:{config.listen[1]}".encode()
         self.stale = 0.0  # the share of kept connections that end under the next request
-        self.pools: dict[Address, Pool] = {}
+        self.pools = Pools(core.clock, counters, int(config.limits.sockets * tunables.OUTBOUND_PART),
+                           config.conn_idle_ms * tunables.IDLE_PART, config.settings.connect_timeout_ms / 1000.0)
         self._tasks = Tasks(counters)
         self._calls: dict[int, asyncio.Task[None]] = {}
 
     def _pool(self, destination: Destination) -> Pool:
-        to = address(destination.listed.addr, "addr")
-        pool = self.pools.get(to)
-        if pool is None:
-            pool = self.pools[to] = Pool(to, self)
-        return pool
+        return self.pools.to(address(destination.listed.addr, "addr"))
 
     async def run(self) -> None:
         """Close idle connections well before the other side does."""
-        while True:
-            await asyncio.sleep(tunables.REAP_S)
-            for pool in self.pools.values():
-                pool.close_idle(self.core.clock.now() - self.idle_ms)
+        await self.pools.run()
 
     async def close(self) -> None:
         """Give back everything."""
         await self._tasks.close()
-        for pool in list(self.pools.values()):
-            pool.close_idle()
-
-    def make_room(self) -> None:
-        """Close the idle connections that were used longest ago, a quarter: the sockets are needed elsewhere.
-
-        Guards against a fleet of more workers than sockets, where closing all of them made each second call a
-        handshake.
-        """
-        since = sorted(w.idle_since for pool in self.pools.values() for w in pool.idle)
-        if since:
-            before = since[len(since) // 4]
-            for pool in self.pools.values():
-                pool.close_idle(before + 1e-6)
+        self.pools.close_idle()
 
     def close_idle(self, destination: Destination) -> None:
         """Close idle connections."""
@@ -229,9 +157,7 @@
     def forget(self, destination: Destination) -> None:
         """The destination is gone or restarted: its pool ends."""
         with suppress(ValueError):  # an address that never was one has no pool
-            pool = self.pools.pop(address(destination.listed.addr, "addr"), None)
-            if pool is not None:
-                pool.close_idle()
+            self.pools.forget(address(destination.listed.addr, "addr"))
 
     # -- probes --
 
--- /dev/null
+++ b/gaphub/net/http/pool.py
@@ -0,0 +1,121 @@
+"""Owns the connections to workers between their uses, and how many there may be together.
+
+It must never write to one, nor read what has come on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from ...config import Address
+from ...core import Clock
+from ...metrics import Counters
+from . import tunables
+from .connection import ConnectionLostError, Wire
+
+
+class Pool:
+    """Owns the connections to one destination."""
+
+    def __init__(self, to: Address, owner: Pools) -> None:
+        self.to = to
+        self.owner = owner
+        self.idle: list[Wire] = []
+
+    async def take(self, fresh: bool = False) -> Wire:
+        """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
+        while self.idle and not fresh:
+            wire = self.idle.pop()
+            # Guards against settings whose idle time is no longer than the pause between two rounds of the
+            # reaper: the worker's machine has closed such a connection, or is about to.
+            if wire.usable and wire.idle_since >= self.owner.clock.now() - self.owner.idle_ms:
+                return wire
+            self.drop(wire)
+        if self.owner.sockets <= 0:
+            self.owner.make_room()
+        if self.owner.sockets <= 0:
+            raise ConnectionLostError("out of sockets")
+        self.owner.sockets -= 1
+        try:
+            wire = await Wire.connect(self.to, self.owner.connect_s)
+        except BaseException:
+            self.owner.sockets += 1
+            raise
+        self.owner.counters.add("connections.outbound")
+        return wire
+
+    def give_back(self, wire: Wire, now: float) -> None:
+        """The one place where a connection comes back: kept if it may be used again."""
+        if wire.reusable and self.owner.has(self):
+            wire.idle_since = now
+            self.idle.append(wire)
+        else:
+            self.drop(wire)
+
+    def drop(self, wire: Wire) -> None:
+        """Close a connection."""
+        wire.close()
+        self.owner.sockets += 1
+
+    def close_idle(self, before: float = 1e18) -> None:
+        """Close what has been idle since before a time, and what the other side closed."""
+        old = [w for w in self.idle if w.idle_since < before or not w.usable]
+        self.idle = [w for w in self.idle if w not in old]
+        for wire in old:
+            self.drop(wire)
+
+
+class Pools:
+    """Owns the pools of all destinations; a connection counts as one of ``sockets`` until it is closed."""
+
+    def __init__(self, clock: Clock, counters: Counters, sockets: int, idle_ms: float, connect_s: float) -> None:
+        self.clock = clock
+        self.counters = counters
+        self.sockets = sockets
+        self.idle_ms = idle_ms  # idle for so long, a connection is closed
+        self.connect_s = connect_s
+        self._pools: dict[Address, Pool] = {}
+
+    def to(self, to: Address) -> Pool:
+        """The pool of an address."""
+        pool = self._pools.get(to)
+        if pool is None:
+            pool = self._pools[to] = Pool(to, self)
+        return pool
+
+    def has(self, pool: Pool) -> bool:
+        """Whether a pool is that of its address still."""
+        return self._pools.get(pool.to) is pool
+
+    def values(self) -> Iterable[Pool]:
+        """All pools."""
+        return self._pools.values()
+
+    async def run(self) -> None:
+        """Close idle connections well before the other side does."""
+        while True:
+            await asyncio.sleep(tunables.REAP_S)
+            self.close_idle(self.clock.now() - self.idle_ms)
+
+    def make_room(self) -> None:
+        """Close the idle connections that were used longest ago, a quarter: the sockets are needed elsewhere.
+
+        Guards against a fleet of more workers than sockets, where closing all of them made each second call a
+        handshake.
+        """
+        since = sorted(w.idle_since for pool in self._pools.values() for w in pool.idle)
+        if since:
+            before = since[len(since) // 4]
+            self.close_idle(before + 1e-6)
+
+    def close_idle(self, before: float = 1e18) -> None:
+        """Close what has been idle since before a time, and what the other side closed."""
+        for pool in self._pools.values():
+            pool.close_idle(before)
+
+    def forget(self, to: Address) -> None:
+        """The destination is gone or restarted: its pool ends."""
+        pool = self._pools.pop(to, None)
+        if pool is not None:
+            pool.close_idle()
