--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import re
 import socket
 import sys
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from types import ModuleType
 from typing import Any
@@ -20,11 +19,12 @@
 import h11
 import msgspec
 
-from ...config import GARBLED, Address, Config, address
+from ...config import Address, Config, address
 from ...core import Answer, Call, Core, Destination, Ending, Fence, Job, Outcome, Tasks
 from ...interface import Effect, Status
 from ...metrics import Counters
 from . import tunables
+from .answer import AnswerReader, Line, parse_load
 from .connection import ConnectionLostError, EarlyAnswerError, NeverWrittenError, Wire
 from .pool import Pool, Pools
 from .request import BadRequestError, check_head, parse_job, parse_key, passed_on
@@ -93,37 +93,6 @@
         self.status = status
 
 
-class Line(msgspec.Struct):
-    """One line of a worker's answer."""
-
-    state: str
-    id: str = ""
-    share: float = 0.0
-    result: Any = msgspec.UNSET
-    load: Any = None
-
-
-_line = msgspec.json.Decoder(Line)
-_load = msgspec.json.Decoder(dict[str, float])
-
-
-def parse_load(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """A load report, as JSON or as ``name=value,...``, in the order of the settings; () if it is none.
-
-    Guards against a spoilt ``nan`` or ``inf``: no comparison of the Balancer's would be true or false of it.
-    """
-    try:
-        if text.lstrip().startswith(b"{"):
-            values = _load.decode(text)
-        else:
-            pairs = (p.partition("=") for p in text.decode("ascii").split(",") if p.strip())
-            values = {name.strip(): float(value) for name, _, value in pairs}
-        found = tuple(float(values[f]) for f in fields)
-        return found if all(map(math.isfinite, found)) else ()
-    except (msgspec.DecodeError, ValueError, KeyError):
-        return ()
-
-
 class Outbound:
     """Calls and probes; the port of the destinations that discovery names."""
 
@@ -135,6 +104,7 @@
         self.stale = 0.0  # the share of kept connections that end under the next request
         self.pools = Pools(core.clock, counters, int(config.limits.sockets * tunables.OUTBOUND_PART),
                            config.conn_idle_ms * tunables.IDLE_PART, config.settings.connect_timeout_ms / 1000.0)
+        self._answers = AnswerReader(core, counters, config.report_fields)
         self._tasks = Tasks(counters)
         self._calls: dict[int, asyncio.Task[None]] = {}
 
@@ -247,7 +217,7 @@
                             # Guards against one that says half a line before its turn, and no more: the request
                             # would wait for it until its deadline, though nothing of it is out.
                             async with asyncio.timeout(tunables.TAIL_S):
-                                early = await self._outcome(call, wire)
+                                early = await self._answers.outcome(call, wire)
                             outcome.status = Status.FULL if early.status == Status.FULL else outcome.status
                             outcome.report = early.report
                         raise
@@ -263,7 +233,7 @@
                     self.core.written(call)
                 assert wire is not None
                 try:
-                    outcome = await self._outcome(call, wire)
+                    outcome = await self._answers.outcome(call, wire)
                 except ConnectionLostError:
                     if kept:
                         self._saw_kept(stale=not wire.heard)
@@ -323,62 +293,6 @@
         except h11.LocalProtocolError as error:
             raise NeverWrittenError(str(error)) from None
 
-    async def _outcome(self, call: Call, wire: Wire) -> Outcome:
-        """Read an answer up to the line, or the status, that ends the attempt."""
-        response = await wire.event()
-        while isinstance(response, h11.InformationalResponse):
-            response = await wire.event()
-        headers = dict(response.headers)
-        report = parse_load(headers.get(b"x-server-load", b""), self.report_fields)
-        if response.status_code != 200:
-            unrun = response.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
-            return Outcome(Status.FULL if unrun else Status.ERROR, b"", report, response.status_code == 400)
-        async for line in self._lines(wire):
-            if line.id not in ("", call.job.ident):
-                raise ConnectionLostError("an answer to another request")
-            if isinstance(line.load, dict):
-                report = parse_load(msgspec.json.encode(line.load), self.report_fields)
-            if line.state == "started":
-                await self.core.post(lambda: self.core.started(call))
-            elif line.state == "running":
-                await self.core.post(lambda share=line.share: self.core.progressed(call, share))  # type: ignore[misc]
-            elif line.state == "done":
-                result = line.result
-                if result is msgspec.UNSET:
-                    raise self._garbled("done without a result")
-                body = result.encode() if isinstance(result, str) else msgspec.json.encode(result)
-                return Outcome(Status.OK, body, report)
-            elif line.state in ENDINGS:
-                return Outcome(ENDINGS[line.state], b"", report)
-        raise ConnectionLostError("the answer ended before its last line")
-
-    async def _lines(self, wire: Wire) -> AsyncIterator[Line]:
-        rest = b""
-        while not isinstance(event := await wire.event(), h11.EndOfMessage):
-            if not isinstance(event, h11.Data):
-                continue
-            *lines, rest = (rest + bytes(event.data)).split(b"\n")
-            if len(rest) > tunables.LINE_MOST:
-                raise ConnectionLostError("line too long")
-            for text in lines:
-                if text.strip():
-                    yield self._decode(text)
-        if rest.strip():
-            yield self._decode(rest)
-
-    def _decode(self, text: bytes) -> Line:
-        try:
-            return _line.decode(text)
-        except GARBLED as error:
-            raise self._garbled(str(error)) from None
-
-    def _garbled(self, why: str) -> ConnectionLostError:
-        self.counters.log("garbled.answer", why)
-        return ConnectionLostError("garbled line")
-
-
-ENDINGS = {"failed": Status.ERROR, "returned": Status.FULL, "lost": Status.RESET}
-
 
 # --- inbound -----------------------------------------------------------------------------------------
 
