--- /dev/null
+++ b/gaphub/net/http/probe.py
@@ -0,0 +1,66 @@
+"""Owns the probe of a worker: one question for its load, and what its answer or silence says of it.
+
+It must never decide when a worker is asked, nor what follows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+from ...core import Core, Destination
+from ...interface import Status
+from . import tunables
+from .answer import parse_load
+from .connection import ConnectionLostError, NeverWrittenError, Wire
+from .pool import Pool
+
+
+class Prober:
+    """Probes workers on the connections of their pools."""
+
+    def __init__(self, core: Core, report_fields: tuple[str, ...], service: bytes) -> None:
+        """``service``: the Host that a probe names."""
+        self.core = core
+        self.report_fields = report_fields
+        self.service = service
+
+    async def probe(self, destination: Destination, pool: Pool) -> None:
+        """Ask a worker for its load, and tell the core what it said or how it failed."""
+        began = self.core.clock.now()
+        status, report = Status.CONNECT_FAILED, ()
+        wire: Wire | None = None
+        try:
+            async with asyncio.timeout(tunables.PROBE_S):
+                while wire is None:
+                    status = Status.CONNECT_FAILED
+                    wire = await pool.take()
+                    status = Status.RESET
+                    kept = wire.used
+                    try:
+                        # Guards against what a worker said on it unasked: that would be taken for the probe's
+                        # answer, and the probe's answer for the next request's.
+                        if kept and not await wire.quiet():
+                            raise NeverWrittenError
+                        await wire.send("GET", "/-/load", [(b"Host", self.service)], b"")
+                        event = await wire.event()
+                    except (ConnectionLostError, NeverWrittenError):
+                        if not kept or wire.heard:
+                            raise
+                        # Closed early by the worker's machine, as it may be: that is no word on the worker.
+                        pool.drop(wire)
+                        wire = None
+                body = await wire.body()
+                if isinstance(event, h11.Response):
+                    status = Status.OK if event.status_code == 200 else Status.ERROR
+                    report = parse_load(body, self.report_fields)  # type: ignore[assignment]
+        except TimeoutError:
+            status = Status.TIMEOUT
+        except (ConnectionLostError, NeverWrittenError, h11.LocalProtocolError):
+            pass
+        finally:
+            now = self.core.clock.now()
+            if wire is not None:
+                pool.give_back(wire, now)
+        await self.core.post(lambda: self.core.probed(destination, status, now - began, report))
