HTTP front: the times after SIGTERM are a module without a clock

Moved: until when all must be answered, and which jobs may begin by then (Drain). Test: the_time_to_leave reads these times at Inbound.drain; what it asserts is as it was.

--- /dev/null
+++ b/gaphub/net/http/drain.py
@@ -0,0 +1,32 @@
+"""Owns the times of a listener's drain, after SIGTERM: until when all must be answered, and what may begin yet.
+
+It is pure: it must never read a clock, nor close anything.
+"""
+
+from __future__ import annotations
+
+from ...core import Job
+from ...interface import ClassSettings, Effect
+from . import tunables
+
+
+class Drain:
+    """Whether a listener is leaving, and by when it must be done."""
+
+    def __init__(self) -> None:
+        self.leaving = False  # each connection ends with its next answer
+        self.told_at = 1e18  # when SIGTERM came
+        self.ends_at = 1e18  # when all must be answered that was asked a while after it
+
+    def begin(self, now: float, longest_ms: float) -> None:
+        """SIGTERM has come; ``longest_ms``: the longest deadline of a class."""
+        self.told_at = now
+        killed_at = now + min(longest_ms, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS
+        self.ends_at = killed_at - tunables.LEAVE_SLACK_MS
+
+    def may_begin(self, job: Job, cls: ClassSettings) -> bool:
+        """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
+        if job.received_at > self.told_at + tunables.LEAVE_MORE_MS - tunables.LEAVE_SLACK_MS:
+            job.left_ms = min(job.left_ms, self.ends_at - job.received_at)
+            return cls.effect == Effect.SAFE or job.left_ms >= tunables.LEAVE_AIMS * cls.aim_ms
+        return True
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -17,9 +17,9 @@
 
 from ...config import Address, Config
 from ...core import Answer, Core, Ending, Fence, Job, Tasks
-from ...interface import Effect
 from ...metrics import Counters
 from . import tunables
+from .drain import Drain
 from .request import BadRequestError, check_head, parse_job
 from .session import Ears, Visitor
 
@@ -41,9 +41,7 @@
         self.bodies = int(config.limits.memory_mb * 1e6 * tunables.BODIES_PART * part)  # bytes, together
         self.visitors: dict[int, Visitor] = {}
         self.open_ids: set[str] = set()
-        self.leaving = False
-        self.told_at = 1e18  # when SIGTERM came
-        self.ends_at = 1e18  # when all must be answered that was asked a while after it
+        self.drain = Drain()
         self.ready = False
         self._serial = 0
         self._flooding = 0  # clients whose excess is being dropped
@@ -98,18 +96,16 @@
         now = self.core.clock.now
         # Of the classes in force: rows of others are kept for open jobs, and SIGKILL does not wait for those.
         longest = max(self.core.settings.classes[row].deadline_ms for row in self.core.table.live.values())
-        self.told_at = now()
-        killed_at = self.told_at + min(longest, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS
-        self.ends_at = killed_at - tunables.LEAVE_SLACK_MS
+        self.drain.begin(now(), longest)
         if successor:
-            self.leaving = True
+            self.drain.leaving = True
             await self._stop_accepting()
         else:
             await asyncio.sleep(tunables.LINGER_S)
         while (successor and self.visitors or not (successor or others_serve())) \
-                and now() < self.ends_at - tunables.LEAVE_LEAST_MS:
+                and now() < self.drain.ends_at - tunables.LEAVE_LEAST_MS:
             await asyncio.sleep(0.02)
-        self.leaving = True
+        self.drain.leaving = True
         while True:
             while self.visitors or self.core.open_jobs:
                 self._close_resting(self.core.clock.now() - tunables.IDLE_LEAVING_S * 1000.0)
@@ -312,7 +308,7 @@
                     # Asked here, when it is taken, and in the core again: after a freeze the clock knows.
                     self.counters.add("requests.fenced")
                     future.set_result(self.core.turn_away(job, job.fence.return_ms if job.fence else 0.0))
-                elif not self._may_begin(job):
+                elif not self.drain.may_begin(job, self.core.settings.classes[job.class_index]):
                     future.set_result(self.core.turn_away(job, tunables.LEAVE_RETURN_MS))
                 elif not self.core.offer(job):
                     future.set_result(self.core.turn_away(job))
@@ -326,14 +322,6 @@
                 extra = [("Retry-After", f"{answer.retry_after_ms / 1000.0:.3f}")]
             await self._write(http, writer, _ANSWERS[answer.ending], answer.body, extra, visitor.flooded)
 
-    def _may_begin(self, job: Job) -> bool:
-        """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
-        if job.received_at > self.told_at + tunables.LEAVE_MORE_MS - tunables.LEAVE_SLACK_MS:
-            job.left_ms = min(job.left_ms, self.ends_at - job.received_at)
-            cls = self.core.settings.classes[job.class_index]
-            return cls.effect == Effect.SAFE or job.left_ms >= tunables.LEAVE_AIMS * cls.aim_ms
-        return True
-
     async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
                     visitor: Visitor) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
@@ -374,7 +362,7 @@
     async def _write(self, http: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = (), flooded: bool = False) -> None:
         headers = [("Content-Length", str(len(body))), *extra]
-        if self.leaving or flooded:
+        if self.drain.leaving or flooded:
             headers.append(("Connection", "close"))
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         if body:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -759,11 +759,11 @@
 
 # SIGHUP has dropped the class of the longest deadline, of which a job is open: SIGKILL does not wait for it.
 def test_the_time_to_leave_is_that_of_the_classes_in_force(monkeypatch: pytest.MonkeyPatch) -> None:
-    left: list[http.Inbound] = []
+    left: list[http.Drain] = []
     leave = http.Inbound.leave
 
     async def noted(self: http.Inbound, *more: Any) -> None:
-        left.append(self)
+        left.append(self.drain)
         await leave(self, *more)
 
     monkeypatch.setattr(http.Inbound, "leave", noted)
