HTTP front: requests and answers apart from listening

Moved: what serves one connection's requests, with the ids that are open, the room for bodies and the excess that is dropped, is RequestHandler; Inbound keeps the listening socket, the connections, making room and leaving. The program sets ready, and shares the open ids of two listeners, at the handlers. Tests: one patch point moves, Inbound._write to RequestHandler._write, which is given the connection's state in place of its writer; nothing that is asserted changes.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -121,7 +121,7 @@
 
     def ready() -> bool:
         late = core.clock.now() - began > UNTOLD_MS and core.targets()[0] > 0
-        return inbound.ready and (destinations.told or late)
+        return inbound.handler.ready and (destinations.told or late)
 
     return Ops(listen, counters, max(4, config.limits.sockets // 32), ready,
                lambda: core.figures.show(core.concurrent, *core.targets()), move)
@@ -153,7 +153,8 @@
             inbound = Inbound(config, core, counters, part=0.5)
             moving = Inbound(config, core, counters, parse_address(config.fronts.address.listen,
                                                                    "address.listen"), address.fence, 0.5)
-            moving.open_ids = inbound.open_ids  # an id that is open at one of them is refused at the other
+            # An id that is open at one of them is refused at the other.
+            moving.handler.open_ids = inbound.handler.open_ids
     admin = Admin(config.fronts.admin, counters, {"status": lambda: {
         **status(config, core, counters, address),
         **({"gearman": gearmen.status()} if config.fronts.gearman.listen else {})}})
@@ -186,7 +187,7 @@
         for work in (core.run(), outbound.run(), destinations.run(), gearmen.run(), sinks.run_graphite(),
                      sinks.run_collectd(), sinks.run_log(), reload.run(destinations, core)):
             actors.start(work)
-        inbound.ready = True
+        inbound.handler.ready = True
         shelf.serving()
         counters.add("ready")
         if address is not None:
--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -4,8 +4,8 @@
 second time by itself, and never call an attempt "never ran" once its last byte was written, unless the worker
 said so.
 
-Clients' side: ``inbound``, ``session`` (a connection's state), ``request`` (what a request must be),
-``drain`` (the times after SIGTERM).
+Clients' side: ``inbound`` (listening, accepting, leaving), ``session`` (a connection's state), ``handler``
+(requests and answers), ``request`` (what a request must be), ``drain`` (the times after SIGTERM).
 Workers' side: ``outbound`` (calls), ``probe``, ``answer`` (what a worker's answer says), ``pool``, ``connection``.
 Both read their times, sizes and shares in ``tunables``.
 """
@@ -19,6 +19,7 @@
 from .answer import Line, parse_load
 from .connection import ConnectionLostError, EarlyAnswerError, NeverWrittenError, Wire
 from .drain import Drain
+from .handler import RequestHandler
 from .inbound import Inbound
 from .outbound import Outbound, StoppedError
 from .pool import Pool, Pools
@@ -63,9 +64,9 @@
     "EarlyAnswerError", "Ears", "FRESH_S", "HOLD_S", "IDLE_LEAVING_S", "IDLE_PART", "INBOUND_PART", "Inbound",
     "LEAVE_AIMS", "LEAVE_LEAST_MS", "LEAVE_MORE_MS", "LEAVE_MOST_MS", "LEAVE_RETURN_MS", "LEAVE_SLACK_MS",
     "LINE_MOST", "LINGER_ERROR_S", "LINGER_MOST", "LINGER_S", "Line", "NeverWrittenError", "OUTBOUND_PART",
-    "Outbound", "PROBE_S", "Pool", "Pools", "READ", "REAP_S", "RECEIVE", "REQUEST_S", "STALE", "STALE_STEP",
-    "StoppedError", "TAIL_S", "TAKE_S", "TRAVEL_MS", "Visitor", "Wire", "YIELD_MS", "check_head", "parse_job",
-    "parse_key", "parse_load", "passed_on",
+    "Outbound", "PROBE_S", "Pool", "Pools", "READ", "REAP_S", "RECEIVE", "REQUEST_S", "RequestHandler", "STALE",
+    "STALE_STEP", "StoppedError", "TAIL_S", "TAKE_S", "TRAVEL_MS", "Visitor", "Wire", "YIELD_MS", "check_head",
+    "parse_job", "parse_key", "parse_load", "passed_on",
 ]
 
 class _Package(ModuleType):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -279,16 +279,15 @@
 
 # A request that was sent ahead is not begun if its client has gone by the time that its turn comes.
 def test_a_request_sent_ahead_is_not_begun_for_a_client_that_left(monkeypatch: pytest.MonkeyPatch) -> None:
-    write = http.Inbound._write
+    write = http.RequestHandler._write
 
-    async def slow(self: http.Inbound, h: Any, writer: asyncio.StreamWriter, *more: Any) -> None:
-        await write(self, h, writer, *more)
-        visitor = next(v for v in self.visitors.values() if v.writer is writer)
+    async def slow(self: http.RequestHandler, h: Any, visitor: http.Visitor, *more: Any) -> None:
+        await write(self, h, visitor, *more)
         async with asyncio.timeout(5.0):
             while not visitor.left():
                 await asyncio.sleep(0.001)
 
-    monkeypatch.setattr(http.Inbound, "_write", slow)
+    monkeypatch.setattr(http.RequestHandler, "_write", slow)
     play(ONE + """
         c send job poloha r1 0123456789
         w expect 0123456789
