--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -17,7 +17,7 @@
 from . import tunables
 from .drain import Drain
 from .handler import RequestHandler
-from .session import Ears, Visitor
+from .session import SessionProtocol, Visitor
 
 
 class Inbound:
@@ -143,7 +143,7 @@
         loop = asyncio.get_running_loop()
         try:
             reader = asyncio.StreamReader(limit=tunables.RECEIVE)
-            protocol = Ears(reader, self.core.clock.now)
+            protocol = SessionProtocol(reader, self.core.clock.now)
             transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
         except OSError:
             sock.close()
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -11,7 +11,7 @@
 from . import tunables
 
 
-class Ears(asyncio.StreamReaderProtocol):
+class SessionProtocol(asyncio.StreamReaderProtocol):
     """An inbound connection's protocol, which notes when its client left though bytes before that are unread."""
 
     def __init__(self, reader: asyncio.StreamReader, now: Callable[[], float]) -> None:
@@ -39,13 +39,14 @@
 class Visitor:
     """One inbound connection; its handler task is its owner."""
 
-    __slots__ = ("reader", "writer", "ears", "since", "waits", "asked", "served", "yielded", "halfway", "flooded",
-                 "taken")
+    __slots__ = ("reader", "writer", "protocol", "since", "waits", "asked", "served", "yielded", "halfway",
+                 "flooded", "taken")
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ears: Ears, now: float) -> None:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, protocol: SessionProtocol,
+                 now: float) -> None:
         self.reader = reader
         self.writer = writer
-        self.ears = ears
+        self.protocol = protocol
         self.since = now  # when it was accepted
         self.waits: float | None = now  # since when the client is to send something; None: we are at work
         self.asked = False  # has carried a whole good request
@@ -64,11 +65,11 @@
     @property
     def unread(self) -> bool:
         """Whether bytes have come to this process that its handler has yet to read."""
-        return self.ears.heard > self.taken
+        return self.protocol.heard > self.taken
 
     def left(self) -> float:
         """Since when the client is known to have closed its side or the connection to be lost; 0: it is there."""
-        return self.ears.left_at
+        return self.protocol.left_at
 
     def may_close(self, before: float) -> bool:
         """Whether nothing is on its way on a connection that has waited since before a time.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -679,13 +679,13 @@
 def test_a_request_that_was_read_as_its_connection_was_to_close_is_served(
         closer: str, monkeypatch: pytest.MonkeyPatch) -> None:
     inbounds: list[http.Inbound] = []
-    take_in, received = http.Inbound._take_in, http.Ears.data_received
+    take_in, received = http.Inbound._take_in, http.SessionProtocol.data_received
 
     async def noted(self: http.Inbound, sock: socket.socket) -> None:
         inbounds.append(self)
         await take_in(self, sock)
 
-    def crossed(self: http.Ears, data: bytes) -> None:
+    def crossed(self: http.SessionProtocol, data: bytes) -> None:
         received(self, data)
         if b"r2" in data:
             if closer == "leaving":
@@ -694,7 +694,7 @@
                 assert not inbounds[0]._make_room()
 
     monkeypatch.setattr(http.Inbound, "_take_in", noted)
-    monkeypatch.setattr(http.Ears, "data_received", crossed)
+    monkeypatch.setattr(http.SessionProtocol, "data_received", crossed)
     monkeypatch.setattr(http, "YIELD_MS", (0.0, 0.0, 0.0))
     play(ONE + """
         c send job poloha r1
@@ -733,10 +733,10 @@
         ends = socket.socketpair()
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader()
-        ears = http.Ears(reader, lambda: 1.0)
-        transport, _ = await loop.create_connection(lambda: ears, sock=ends[0])
-        writer = asyncio.StreamWriter(transport, ears, reader, loop)
-        visitor = http.Visitor(reader, writer, ears, 0.0)
+        protocol = http.SessionProtocol(reader, lambda: 1.0)
+        transport, _ = await loop.create_connection(lambda: protocol, sock=ends[0])
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        visitor = http.Visitor(reader, writer, protocol, 0.0)
         assert visitor.may_close(1.0) and not visitor.may_close(0.0)
         assert visitor.may_yield(5000.0)
         ends[1].setblocking(False)
