--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -20,7 +20,7 @@
 from . import tunables
 from .drain import Drain
 from .request import BadRequestError, check_head, parse_job
-from .session import Visitor
+from .session import ClientSession
 
 _ANSWERS = {Ending.SERVED: 200, Ending.REFUSED: 503, Ending.FAILED: 502}
 
@@ -39,77 +39,77 @@
         self.ready = False
         self._flooding = 0  # clients whose excess is being dropped
 
-    async def serve(self, visitor: Visitor) -> None:
+    async def serve(self, session: ClientSession) -> None:
         """Answer a connection's requests, one at a time, until it is to be closed."""
         http = h11.Connection(h11.SERVER)
         while True:
-            visitor.waits = self.core.clock.now()
+            session.waits = self.core.clock.now()
             try:
-                found = await self._read(http, visitor)
+                found = await self._read(http, session)
                 if found is None:
                     return
-                visitor.waits = None
-                await self._handle(*found, http, visitor)
+                session.waits = None
+                await self._handle(*found, http, session)
             except (BadRequestError, h11.RemoteProtocolError) as error:
                 self.counters.log("garbled.request", str(error) or type(error).__name__)
                 status = error.status if isinstance(error, BadRequestError) else error.error_status_hint
                 if http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                    await self._write(http, visitor, status, b"", [("Connection", "close")])
-                    await self._linger(visitor)
+                    await self._write(http, session, status, b"", [("Connection", "close")])
+                    await self._linger(session)
                 return
-            visitor.asked = True
-            if visitor.flooded:
-                await self._linger(visitor)
+            session.asked = True
+            if session.flooded:
+                await self._linger(session)
                 return
             if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return
             http.start_next_cycle()
 
     @staticmethod
-    async def _linger(visitor: Visitor) -> None:
+    async def _linger(session: ClientSession) -> None:
         """Let an error reach a client that still sends: a close with bytes unread would take it back."""
         left = tunables.LINGER_MOST
-        visitor.waits = visitor.waits or 0.0  # from here on it may make room at once
+        session.waits = session.waits or 0.0  # from here on it may make room at once
         with suppress(OSError, TimeoutError):
-            visitor.writer.write_eof()
+            session.writer.write_eof()
             async with asyncio.timeout(tunables.LINGER_ERROR_S):
-                while left > 0 and (data := await visitor.read()):
+                while left > 0 and (data := await session.read()):
                     left -= len(data)
 
-    def _until(self, visitor: Visitor, received_at: float) -> float | None:
+    def _until(self, session: ClientSession, received_at: float) -> float | None:
         """Until when the next bytes must come; None: there is no hurry."""
-        if not visitor.asked:
-            return visitor.since + tunables.FRESH_S * 1000.0
+        if not session.asked:
+            return session.since + tunables.FRESH_S * 1000.0
         return received_at + tunables.REQUEST_S * 1000.0 if received_at else None
 
-    async def _read(self, http: h11.Connection, visitor: Visitor) -> tuple[h11.Request, bytes, float] | None:
+    async def _read(self, http: h11.Connection, session: ClientSession) -> tuple[h11.Request, bytes, float] | None:
         """The next whole request; None when the client closes."""
         request: h11.Request | None = None
         body = bytearray()
         received_at = self.core.clock.now() if http.trailing_data[0] else 0.0
-        visitor.halfway = bool(received_at)
+        session.halfway = bool(received_at)
         try:
             while True:
                 raw = http.trailing_data[0] if request is None else b""
                 event = http.next_event()
                 if event is h11.NEED_DATA:
                     if http.they_are_waiting_for_100_continue:
-                        visitor.writer.write(
+                        session.writer.write(
                             http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
                     # Between requests a client may be silent as long as it likes, inside one and before
                     # its first it may not.
-                    until = self._until(visitor, received_at)
+                    until = self._until(session, received_at)
                     left_s = None if until is None else (until - self.core.clock.now()) / 1000.0
                     try:
                         async with asyncio.timeout(left_s):
-                            data = await visitor.read()
+                            data = await session.read()
                     except TimeoutError:
-                        if visitor.unread and not received_at:
+                        if session.unread and not received_at:
                             continue  # the first bytes came in this very moment: they are looked at first
                         raise BadRequestError(408, "the request did not end in time") from None
                     if data:
                         received_at = received_at or self.core.clock.now()
-                        visitor.halfway = True
+                        session.halfway = True
                     http.receive_data(data)
                 elif isinstance(event, h11.Request):
                     check_head(event, re.split(rb"\r?\n\r?\n", raw, maxsplit=1)[0])
@@ -126,28 +126,28 @@
                 else:
                     return None
         finally:
-            visitor.halfway = False
+            session.halfway = False
             self.bodies += len(body)
 
     async def _handle(self, event: h11.Request, body: bytes, received_at: float, http: h11.Connection,
-                      visitor: Visitor) -> None:
+                      session: ClientSession) -> None:
         target = event.target.partition(b"?")[0]
         if event.method == b"GET" and target == b"/-/ready":
-            await self._write(http, visitor, 200 if self.ready else 503, b"")
+            await self._write(http, session, 200 if self.ready else 503, b"")
         elif event.method == b"GET" and target == b"/-/counters":
-            await self._write(http, visitor, 200, msgspec.json.encode(self.counters.snapshot()))
+            await self._write(http, session, 200, msgspec.json.encode(self.counters.snapshot()))
         elif event.method != b"POST":
-            await self._write(http, visitor, 404 if event.method == b"GET" else 405, b"")
+            await self._write(http, session, 404 if event.method == b"GET" else 405, b"")
         else:
             future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
             job = parse_job(event, body, self.core.table.live, received_at, lambda a: _settle(future, a))
             if job.ident in self.open_ids:
                 raise BadRequestError(409, "the id of an open request")
-            visitor.served = True
-            if visitor.left():  # sent ahead behind another request, and gone since
+            session.served = True
+            if session.left():  # sent ahead behind another request, and gone since
                 self.counters.add("requests.left_before")
                 raise ConnectionResetError("client gone")
-            job.fence, job.left = self.fence, visitor.left
+            job.fence, job.left = self.fence, session.left
             self.open_ids.add(job.ident)
             try:
                 if not self.core.may_write(job):
@@ -158,7 +158,7 @@
                     future.set_result(self.core.turn_away(job, tunables.LEAVE_RETURN_MS))
                 elif not self.core.offer(job):
                     future.set_result(self.core.turn_away(job))
-                answer = await self._wait(job, future, http, visitor)
+                answer = await self._wait(job, future, http, session)
             finally:
                 self.open_ids.discard(job.ident)
             if answer is None:
@@ -166,12 +166,12 @@
             extra = []
             if answer.ending is Ending.REFUSED and answer.retry_after_ms > 0:
                 extra = [("Retry-After", f"{answer.retry_after_ms / 1000.0:.3f}")]
-            await self._write(http, visitor, _ANSWERS[answer.ending], answer.body, extra, visitor.flooded)
+            await self._write(http, session, _ANSWERS[answer.ending], answer.body, extra, session.flooded)
 
     async def _wait(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
-                    visitor: Visitor) -> Answer | None:
+                    session: ClientSession) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
-        read = asyncio.ensure_future(visitor.read())
+        read = asyncio.ensure_future(session.read())
         early = 0
         try:
             while True:
@@ -188,24 +188,24 @@
                 early += len(data)
                 if early <= tunables.BODY_MOST:
                     http.receive_data(data)  # of the next request; the client may still leave
-                elif not visitor.flooded:
-                    visitor.flooded = True
+                elif not session.flooded:
+                    session.flooded = True
                     self._flooding += 1
-                if visitor.flooded:
+                if session.flooded:
                     await asyncio.wait([future], timeout=tunables.DROP_S * self._flooding)
-                read = asyncio.ensure_future(visitor.read())
+                read = asyncio.ensure_future(session.read())
         except asyncio.CancelledError:
             await self.core.post(lambda: self.core.gone(job))
             raise
         finally:
-            if visitor.flooded:
+            if session.flooded:
                 self._flooding -= 1
             read.cancel()  # bytes that have not been read by now stay in the reader
             with suppress(OSError, asyncio.CancelledError):
-                if (data := await read) and not visitor.flooded:
+                if (data := await read) and not session.flooded:
                     http.receive_data(data)
 
-    async def _write(self, http: h11.Connection, visitor: Visitor, status: int, body: bytes,
+    async def _write(self, http: h11.Connection, session: ClientSession, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = (), flooded: bool = False) -> None:
         headers = [("Content-Length", str(len(body))), *extra]
         if self.drain.leaving or flooded:
@@ -214,9 +214,9 @@
         if body:
             data += http.send(h11.Data(data=body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
-        visitor.writer.write(data)
+        session.writer.write(data)
         async with asyncio.timeout(tunables.TAKE_S):
-            await visitor.writer.drain()
+            await session.writer.drain()
 
 
 def _settle(future: asyncio.Future[Answer], answer: Answer) -> None:
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -17,7 +17,7 @@
 from . import tunables
 from .drain import Drain
 from .handler import RequestHandler
-from .session import SessionProtocol, Visitor
+from .session import ClientSession, SessionProtocol
 
 
 class Inbound:
@@ -31,7 +31,7 @@
         self.listen = listen or config.listen
         self.shared = config.admin is not None  # upgrades: two processes listen at once
         self.room = max(1, int(config.limits.sockets * tunables.INBOUND_PART * part))
-        self.visitors: dict[int, Visitor] = {}
+        self.sessions: dict[int, ClientSession] = {}
         self.drain = Drain()
         self.handler = RequestHandler(core, counters, self.drain, fence,
                                       int(config.limits.memory_mb * 1e6 * tunables.BODIES_PART * part))
@@ -93,12 +93,12 @@
             await self._stop_accepting()
         else:
             await asyncio.sleep(tunables.LINGER_S)
-        while (successor and self.visitors or not (successor or others_serve())) \
+        while (successor and self.sessions or not (successor or others_serve())) \
                 and now() < self.drain.ends_at - tunables.LEAVE_LEAST_MS:
             await asyncio.sleep(0.02)
         self.drain.leaving = True
         while True:
-            while self.visitors or self.core.open_jobs:
+            while self.sessions or self.core.open_jobs:
                 self._close_resting(self.core.clock.now() - tunables.IDLE_LEAVING_S * 1000.0)
                 await asyncio.sleep(0.02)
             if self._listener is None:
@@ -109,9 +109,9 @@
 
     def _close_resting(self, before: float) -> None:
         """Close what has rested since before a time."""
-        for visitor in list(self.visitors.values()):
-            if visitor.may_close(before):
-                visitor.writer.transport.abort()
+        for session in list(self.sessions.values()):
+            if session.may_close(before):
+                session.writer.transport.abort()
 
     async def close(self) -> None:
         """Give back the listening socket and every connection."""
@@ -123,7 +123,7 @@
         """Accept one connection at a time, so that a burst of them never passes the clients' part."""
         loop = asyncio.get_running_loop()
         while True:
-            while len(self.visitors) >= self.room:
+            while len(self.sessions) >= self.room:
                 await asyncio.sleep(0.0 if self._make_room() else 0.01)
             try:
                 sock, _ = listener.accept()
@@ -150,39 +150,39 @@
             return
         self.counters.add("connections.inbound")
         self._serial += 1
-        visitor = Visitor(reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol,
+        session = ClientSession(reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol,
                           self.core.clock.now())
-        self.visitors[self._serial] = visitor
-        self._tasks.start(self._serve(self._serial, visitor))
+        self.sessions[self._serial] = session
+        self._tasks.start(self._serve(self._serial, session))
 
     def _make_room(self) -> bool:
         """Whether a connection is on its way out, if need be one that is made to go."""
-        if any(v.yielded for v in self.visitors.values()):
+        if any(s.yielded for s in self.sessions.values()):
             return True
         now = self.core.clock.now()
-        found = [(place, n) for n, v in self.visitors.items() if (place := v.may_yield(now)) is not None]
+        found = [(place, n) for n, s in self.sessions.items() if (place := s.may_yield(now)) is not None]
         if not found:
             return False
         self.counters.add("connections.yielded")
-        visitor = self.visitors[min(found)[1]]
-        visitor.yielded = True
-        visitor.writer.transport.abort()
+        session = self.sessions[min(found)[1]]
+        session.yielded = True
+        session.writer.transport.abort()
         return True
 
-    async def _serve(self, number: int, visitor: Visitor) -> None:
-        writer = visitor.writer
+    async def _serve(self, number: int, session: ClientSession) -> None:
+        writer = session.writer
         try:
-            await self.handler.serve(visitor)
+            await self.handler.serve(session)
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
-            visitor.waits, visitor.asked, visitor.served = self.core.clock.now(), False, False
+            session.waits, session.asked, session.served = self.core.clock.now(), False, False
             writer.close()
             with suppress(OSError, TimeoutError, asyncio.CancelledError):
                 async with asyncio.timeout(tunables.TAKE_S):
                     await writer.wait_closed()
             writer.transport.abort()
-            del self.visitors[number]
+            del self.sessions[number]
 
 
 def _be_told(there: asyncio.Future[None]) -> None:
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -36,7 +36,7 @@
         super().connection_lost(exc)
 
 
-class Visitor:
+class ClientSession:
     """One inbound connection; its handler task is its owner."""
 
     __slots__ = ("reader", "writer", "protocol", "since", "waits", "asked", "served", "yielded", "halfway",
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -281,10 +281,10 @@
 def test_a_request_sent_ahead_is_not_begun_for_a_client_that_left(monkeypatch: pytest.MonkeyPatch) -> None:
     write = http.RequestHandler._write
 
-    async def slow(self: http.RequestHandler, h: Any, visitor: http.Visitor, *more: Any) -> None:
-        await write(self, h, visitor, *more)
+    async def slow(self: http.RequestHandler, h: Any, session: http.ClientSession, *more: Any) -> None:
+        await write(self, h, session, *more)
         async with asyncio.timeout(5.0):
-            while not visitor.left():
+            while not session.left():
                 await asyncio.sleep(0.001)
 
     monkeypatch.setattr(http.RequestHandler, "_write", slow)
@@ -659,10 +659,10 @@
 # A client begins in the moment in which its silent connection is given up.
 def test_a_request_that_comes_as_its_silent_connection_is_given_up_is_served(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    read = http.Visitor.read
-    crossed: list[http.Visitor] = []
+    read = http.ClientSession.read
+    crossed: list[http.ClientSession] = []
 
-    async def late(self: http.Visitor) -> bytes:
+    async def late(self: http.ClientSession) -> bytes:
         if not crossed:
             while not self.unread:
                 await asyncio.sleep(0.001)
@@ -670,7 +670,7 @@
             raise TimeoutError
         return await read(self)
 
-    monkeypatch.setattr(http.Visitor, "read", late)
+    monkeypatch.setattr(http.ClientSession, "read", late)
     play(SERVED)
 
 
@@ -736,19 +736,19 @@
         protocol = http.SessionProtocol(reader, lambda: 1.0)
         transport, _ = await loop.create_connection(lambda: protocol, sock=ends[0])
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-        visitor = http.Visitor(reader, writer, protocol, 0.0)
-        assert visitor.may_close(1.0) and not visitor.may_close(0.0)
-        assert visitor.may_yield(5000.0)
+        session = http.ClientSession(reader, writer, protocol, 0.0)
+        assert session.may_close(1.0) and not session.may_close(0.0)
+        assert session.may_yield(5000.0)
         ends[1].setblocking(False)
         size = 16_000_000
         writer.write(b"x" * size)
-        assert not visitor.may_close(1.0) and visitor.may_yield(5000.0) is None
-        assert visitor.may_yield(1e9)  # who takes nothing for long makes room all the same
+        assert not session.may_close(1.0) and session.may_yield(5000.0) is None
+        assert session.may_yield(1e9)  # who takes nothing for long makes room all the same
         got = 0
         async with asyncio.timeout(5.0):
             while got < size:
                 got += len(await loop.sock_recv(ends[1], 1 << 20))
-            while not visitor.may_close(1.0):
+            while not session.may_close(1.0):
                 await asyncio.sleep(0.001)
         writer.close()
         ends[1].close()
