--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -17,7 +17,7 @@
 from ..core import Core, Listed
 from ..interface import ListKind, WorkerState
 from ..metrics import Counters
-from .http import ConnectionLostError, NeverWrittenError, Wire
+from .http import Connection, ConnectionLostError, NeverWrittenError
 
 # A watch can fall silent with its connection open, and shows it only by the end of its wait.  What it misses
 # counts as told 6 s after that, or 2 s after the wait where that is later; until it is opened anew no worker
@@ -56,7 +56,7 @@
         self.told = False  # whether the agent has said anything since the start
         self._first_whole = config.admin is not None  # readiness waits for it: a watch may have nothing to say
         self._asked: asyncio.Queue[str] = asyncio.Queue(8)
-        self._wire: Wire | None = None
+        self._wire: Connection | None = None
         self._moved = asyncio.Event()
         self._quick = 0  # calls in a row that were answered at once
 
@@ -170,7 +170,7 @@
         async with asyncio.timeout(CALL_S if whole else WATCH_MS / 1000.0 + SILENT_S):
             if self._wire is None or not self._wire.reusable:
                 self._drop()
-                self._wire = await Wire.connect(self.agent, CALL_S)
+                self._wire = await Connection.connect(self.agent, CALL_S)
             await self._wire.send("GET", target, [(b"Host", f"{self.agent[0]}:{self.agent[1]}".encode())], b"")
             event = await self._wire.event()
             body = await self._wire.body(16 * 1024 * 1024)
--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -17,7 +17,7 @@
 
 from . import tunables
 from .answer import Line, parse_load
-from .connection import ConnectionLostError, EarlyAnswerError, NeverWrittenError, Wire
+from .connection import Connection, ConnectionLostError, EarlyAnswerError, NeverWrittenError
 from .drain import Drain
 from .handler import RequestHandler
 from .inbound import Inbound
@@ -60,13 +60,13 @@
 )
 
 __all__ = [
-    "BACKLOG", "BODIES_PART", "BODY_MOST", "BadRequestError", "ClientSession", "ConnectionLostError", "DROP_S",
-    "Drain", "EarlyAnswerError", "FRESH_S", "HOLD_S", "IDLE_LEAVING_S", "IDLE_PART", "INBOUND_PART", "Inbound",
-    "LEAVE_AIMS", "LEAVE_LEAST_MS", "LEAVE_MORE_MS", "LEAVE_MOST_MS", "LEAVE_RETURN_MS", "LEAVE_SLACK_MS",
-    "LINE_MOST", "LINGER_ERROR_S", "LINGER_MOST", "LINGER_S", "Line", "NeverWrittenError", "OUTBOUND_PART",
-    "Outbound", "PROBE_S", "Pool", "Pools", "READ", "REAP_S", "RECEIVE", "REQUEST_S", "RequestHandler", "STALE",
-    "STALE_STEP", "SessionProtocol", "StoppedError", "TAIL_S", "TAKE_S", "TRAVEL_MS", "Wire", "YIELD_MS",
-    "check_head", "parse_job", "parse_key", "parse_load", "passed_on",
+    "BACKLOG", "BODIES_PART", "BODY_MOST", "BadRequestError", "ClientSession", "Connection", "ConnectionLostError",
+    "DROP_S", "Drain", "EarlyAnswerError", "FRESH_S", "HOLD_S", "IDLE_LEAVING_S", "IDLE_PART", "INBOUND_PART",
+    "Inbound", "LEAVE_AIMS", "LEAVE_LEAST_MS", "LEAVE_MORE_MS", "LEAVE_MOST_MS", "LEAVE_RETURN_MS",
+    "LEAVE_SLACK_MS", "LINE_MOST", "LINGER_ERROR_S", "LINGER_MOST", "LINGER_S", "Line", "NeverWrittenError",
+    "OUTBOUND_PART", "Outbound", "PROBE_S", "Pool", "Pools", "READ", "REAP_S", "RECEIVE", "REQUEST_S",
+    "RequestHandler", "STALE", "STALE_STEP", "SessionProtocol", "StoppedError", "TAIL_S", "TAKE_S", "TRAVEL_MS",
+    "YIELD_MS", "check_head", "parse_job", "parse_key", "parse_load", "passed_on",
 ]
 
 class _Package(ModuleType):
--- a/gaphub/net/http/answer.py
+++ b/gaphub/net/http/answer.py
@@ -17,7 +17,7 @@
 from ...interface import Status
 from ...metrics import Counters
 from . import tunables
-from .connection import ConnectionLostError, Wire
+from .connection import Connection, ConnectionLostError
 
 ENDINGS = {"failed": Status.ERROR, "returned": Status.FULL, "lost": Status.RESET}
 
@@ -61,17 +61,17 @@
         self.counters = counters
         self.report_fields = report_fields
 
-    async def outcome(self, call: Call, wire: Wire) -> Outcome:
+    async def outcome(self, call: Call, connection: Connection) -> Outcome:
         """Read an answer up to the line, or the status, that ends the attempt."""
-        response = await wire.event()
+        response = await connection.event()
         while isinstance(response, h11.InformationalResponse):
-            response = await wire.event()
+            response = await connection.event()
         headers = dict(response.headers)
         report = parse_load(headers.get(b"x-server-load", b""), self.report_fields)
         if response.status_code != 200:
             unrun = response.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
             return Outcome(Status.FULL if unrun else Status.ERROR, b"", report, response.status_code == 400)
-        async for line in self._lines(wire):
+        async for line in self._lines(connection):
             if line.id not in ("", call.job.ident):
                 raise ConnectionLostError("an answer to another request")
             if isinstance(line.load, dict):
@@ -90,9 +90,9 @@
                 return Outcome(ENDINGS[line.state], b"", report)
         raise ConnectionLostError("the answer ended before its last line")
 
-    async def _lines(self, wire: Wire) -> AsyncIterator[Line]:
+    async def _lines(self, connection: Connection) -> AsyncIterator[Line]:
         rest = b""
-        while not isinstance(event := await wire.event(), h11.EndOfMessage):
+        while not isinstance(event := await connection.event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 continue
             *lines, rest = (rest + bytes(event.data)).split(b"\n")
--- a/gaphub/net/http/connection.py
+++ b/gaphub/net/http/connection.py
@@ -30,7 +30,7 @@
     """The other side spoke before the request's last byte was written."""
 
 
-class Wire:
+class Connection:
     """One outbound connection; ``close`` is the one place where it is given back."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -43,7 +43,7 @@
         writer.transport.set_write_buffer_limits(high=0)
 
     @classmethod
-    async def connect(cls, to: Address, within_s: float) -> Wire:
+    async def connect(cls, to: Address, within_s: float) -> Connection:
         """A new connection; ConnectionLostError if it does not come up in time."""
         try:
             async with asyncio.timeout(within_s):
--- a/gaphub/net/http/outbound.py
+++ b/gaphub/net/http/outbound.py
@@ -1,6 +1,6 @@
 """Owns the calls to the workers that discovery names, and is the core's port for them.
 
-A call's first bytes go out at once and its last one after a moment, with the core's leave: see ``Wire.begin``.
+A call's first bytes go out at once, its last one a moment later with the core's leave: see ``Connection.begin``.
 It must never decide where a request goes, never send one a second time by itself, and never call an attempt
 "never ran" once its last byte was written, unless the worker said so.
 """
@@ -18,7 +18,7 @@
 from ...metrics import Counters
 from . import tunables
 from .answer import AnswerReader
-from .connection import ConnectionLostError, EarlyAnswerError, NeverWrittenError, Wire
+from .connection import Connection, ConnectionLostError, EarlyAnswerError, NeverWrittenError
 from .pool import Pool, Pools
 from .probe import Prober
 
@@ -95,29 +95,29 @@
 
     async def _call(self, call: Call, pool: Pool) -> None:
         call.begun = True
-        wire: Wire | None = None
+        connection: Connection | None = None
         outcome = Outcome(Status.CANCELLED)  # if it is called off before it could begin
         try:
             async with asyncio.timeout((call.ends - self.core.clock.now()) / 1000.0):
                 outcome.status = Status.CONNECT_FAILED
                 while not call.written:
-                    wire = await pool.take(self._once(call) and self.stale > tunables.STALE)
-                    kept = wire.used
+                    connection = await pool.take(self._once(call) and self.stale > tunables.STALE)
+                    kept = connection.used
                     self._ask(self.core.may_go_on(call))
                     call.begun_at = self.core.clock.now()
                     try:
-                        last = await self._begin(call, wire)
+                        last = await self._begin(call, connection)
                     except NeverWrittenError as error:
                         if kept:  # nothing left in whole: the same attempt takes another connection
                             self._saw_kept(stale=True)
-                            pool.drop(wire)
-                            wire = None
+                            pool.drop(connection)
+                            connection = None
                             continue
                         if isinstance(error, EarlyAnswerError):
                             # Guards against one that says half a line before its turn, and no more: the request
                             # would wait for it until its deadline, though nothing of it is out.
                             async with asyncio.timeout(tunables.TAIL_S):
-                                early = await self._answers.outcome(call, wire)
+                                early = await self._answers.outcome(call, connection)
                             outcome.status = Status.FULL if early.status == Status.FULL else outcome.status
                             outcome.report = early.report
                         raise
@@ -125,18 +125,18 @@
                     call.written = True
                     outcome.status = Status.RESET  # a deadline that passes from here on: it may have run
                     try:
-                        await wire.finish(last)
+                        await connection.finish(last)
                     except NeverWrittenError:
                         call.written = False
                         outcome.status = Status.CONNECT_FAILED
                         raise
                     self.core.written(call)
-                assert wire is not None
+                assert connection is not None
                 try:
-                    outcome = await self._answers.outcome(call, wire)
+                    outcome = await self._answers.outcome(call, connection)
                 except ConnectionLostError:
                     if kept:
-                        self._saw_kept(stale=not wire.heard)
+                        self._saw_kept(stale=not connection.heard)
                     raise
                 if kept:
                     self._saw_kept(stale=False)
@@ -153,19 +153,19 @@
             self.counters.log("calls.raised", repr(error))
         call.over = True  # from here on nothing may call it off: its outcome is on the way
         del self._calls[id(call)]
-        keep = wire is not None and call.written and outcome.status in (Status.OK, Status.FULL, Status.ERROR)
-        if wire is not None and not keep:
-            pool.drop(wire)
+        keep = connection is not None and call.written and outcome.status in (Status.OK, Status.FULL, Status.ERROR)
+        if connection is not None and not keep:
+            pool.drop(connection)
         await self.core.post(lambda: self.core.ended(call, outcome))
-        if wire is not None and keep:
+        if connection is not None and keep:
             try:
                 async with asyncio.timeout(tunables.TAIL_S):
-                    if wire.http.their_state is h11.SEND_BODY:
-                        await wire.body()
+                    if connection.http.their_state is h11.SEND_BODY:
+                        await connection.body()
             except (ConnectionLostError, TimeoutError):
                 pass
             finally:
-                pool.give_back(wire, self.core.clock.now())
+                pool.give_back(connection, self.core.clock.now())
 
     def _once(self, call: Call) -> bool:
         return self.core.settings.classes[call.job.class_index].effect != Effect.SAFE
@@ -182,13 +182,13 @@
             self.counters.add("connections.stale")
         self.stale += (stale - self.stale) * tunables.STALE_STEP
 
-    async def _begin(self, call: Call, wire: Wire) -> bytes:
+    async def _begin(self, call: Call, connection: Connection) -> bytes:
         job = call.job
         left = max(1, int(call.ends - self.core.clock.now()))
         headers = [(b"Host", self.service), (b"X-Request-ID", job.ident.encode()), (b"X-Timeout", b"%dm" % left),
                    (b"X-Priority-Class", self.core.class_names[job.class_index].encode()),
                    (b"Content-Length", b"%d" % len(job.body)), *job.passed]
         try:
-            return await wire.begin(job.method, job.target, headers, job.body)
+            return await connection.begin(job.method, job.target, headers, job.body)
         except h11.LocalProtocolError as error:
             raise NeverWrittenError(str(error)) from None
--- a/gaphub/net/http/pool.py
+++ b/gaphub/net/http/pool.py
@@ -12,7 +12,7 @@
 from ...core import Clock
 from ...metrics import Counters
 from . import tunables
-from .connection import ConnectionLostError, Wire
+from .connection import Connection, ConnectionLostError
 
 
 class Pool:
@@ -21,49 +21,49 @@
     def __init__(self, to: Address, owner: Pools) -> None:
         self.to = to
         self.owner = owner
-        self.idle: list[Wire] = []
+        self.idle: list[Connection] = []
 
-    async def take(self, fresh: bool = False) -> Wire:
+    async def take(self, fresh: bool = False) -> Connection:
         """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
         while self.idle and not fresh:
-            wire = self.idle.pop()
+            connection = self.idle.pop()
             # Guards against settings whose idle time is no longer than the pause between two rounds of the
             # reaper: the worker's machine has closed such a connection, or is about to.
-            if wire.usable and wire.idle_since >= self.owner.clock.now() - self.owner.idle_ms:
-                return wire
-            self.drop(wire)
+            if connection.usable and connection.idle_since >= self.owner.clock.now() - self.owner.idle_ms:
+                return connection
+            self.drop(connection)
         if self.owner.sockets <= 0:
             self.owner.make_room()
         if self.owner.sockets <= 0:
             raise ConnectionLostError("out of sockets")
         self.owner.sockets -= 1
         try:
-            wire = await Wire.connect(self.to, self.owner.connect_s)
+            connection = await Connection.connect(self.to, self.owner.connect_s)
         except BaseException:
             self.owner.sockets += 1
             raise
         self.owner.counters.add("connections.outbound")
-        return wire
+        return connection
 
-    def give_back(self, wire: Wire, now: float) -> None:
+    def give_back(self, connection: Connection, now: float) -> None:
         """The one place where a connection comes back: kept if it may be used again."""
-        if wire.reusable and self.owner.has(self):
-            wire.idle_since = now
-            self.idle.append(wire)
+        if connection.reusable and self.owner.has(self):
+            connection.idle_since = now
+            self.idle.append(connection)
         else:
-            self.drop(wire)
+            self.drop(connection)
 
-    def drop(self, wire: Wire) -> None:
+    def drop(self, connection: Connection) -> None:
         """Close a connection."""
-        wire.close()
+        connection.close()
         self.owner.sockets += 1
 
     def close_idle(self, before: float = 1e18) -> None:
         """Close what has been idle since before a time, and what the other side closed."""
         old = [w for w in self.idle if w.idle_since < before or not w.usable]
         self.idle = [w for w in self.idle if w not in old]
-        for wire in old:
-            self.drop(wire)
+        for connection in old:
+            self.drop(connection)
 
 
 class Pools:
--- a/gaphub/net/http/probe.py
+++ b/gaphub/net/http/probe.py
@@ -13,7 +13,7 @@
 from ...interface import Status
 from . import tunables
 from .answer import parse_load
-from .connection import ConnectionLostError, NeverWrittenError, Wire
+from .connection import Connection, ConnectionLostError, NeverWrittenError
 from .pool import Pool
 
 
@@ -30,28 +30,28 @@
         """Ask a worker for its load, and tell the core what it said or how it failed."""
         began = self.core.clock.now()
         status, report = Status.CONNECT_FAILED, ()
-        wire: Wire | None = None
+        connection: Connection | None = None
         try:
             async with asyncio.timeout(tunables.PROBE_S):
-                while wire is None:
+                while connection is None:
                     status = Status.CONNECT_FAILED
-                    wire = await pool.take()
+                    connection = await pool.take()
                     status = Status.RESET
-                    kept = wire.used
+                    kept = connection.used
                     try:
                         # Guards against what a worker said on it unasked: that would be taken for the probe's
                         # answer, and the probe's answer for the next request's.
-                        if kept and not await wire.quiet():
+                        if kept and not await connection.quiet():
                             raise NeverWrittenError
-                        await wire.send("GET", "/-/load", [(b"Host", self.service)], b"")
-                        event = await wire.event()
+                        await connection.send("GET", "/-/load", [(b"Host", self.service)], b"")
+                        event = await connection.event()
                     except (ConnectionLostError, NeverWrittenError):
-                        if not kept or wire.heard:
+                        if not kept or connection.heard:
                             raise
                         # Closed early by the worker's machine, as it may be: that is no word on the worker.
-                        pool.drop(wire)
-                        wire = None
-                body = await wire.body()
+                        pool.drop(connection)
+                        connection = None
+                body = await connection.body()
                 if isinstance(event, h11.Response):
                     status = Status.OK if event.status_code == 200 else Status.ERROR
                     report = parse_load(body, self.report_fields)  # type: ignore[assignment]
@@ -61,6 +61,6 @@
             pass
         finally:
             now = self.core.clock.now()
-            if wire is not None:
-                pool.give_back(wire, now)
+            if connection is not None:
+                pool.give_back(connection, now)
         await self.core.post(lambda: self.core.probed(destination, status, now - began, report))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -408,14 +408,14 @@
 
 # The deadline passes just as the last byte is handed over: it may have run, so "never ran" would be untrue.
 def test_a_deadline_that_passes_as_the_last_byte_leaves_is_no_proof(monkeypatch: pytest.MonkeyPatch) -> None:
-    finish = http.Wire.finish
+    finish = http.Connection.finish
 
-    async def slow(self: http.Wire, last: bytes) -> None:
+    async def slow(self: http.Connection, last: bytes) -> None:
         await finish(self, last)
         await asyncio.sleep(30.0)
 
     send = Core.send
-    monkeypatch.setattr(http.Wire, "finish", slow)
+    monkeypatch.setattr(http.Connection, "finish", slow)
     monkeypatch.setattr(Core, "send", lambda core, request, worker, _: send(core, request, worker, 400.0))
     monkeypatch.setattr(Core, "_call_off", lambda core, call: None)  # the port's own clock is first
     play(ONE + """
@@ -544,15 +544,16 @@
 # Whatever raises in a call's own code ends the attempt as what is true of it.
 @pytest.mark.parametrize(("where", "ends"), [("begin", "connect_failed"), ("event", "reset")])
 def test_a_call_that_raises_ends_all_the_same(where: str, ends: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(destinations, "Wire", type("Apart", (http.Wire,), {}))  # discovery's stays as it is
-    original = getattr(http.Wire, where)
+    # Discovery's stays as it is.
+    monkeypatch.setattr(destinations, "Connection", type("Apart", (http.Connection,), {}))
+    original = getattr(http.Connection, where)
 
-    async def faulty(self: http.Wire, *more: Any) -> Any:
-        if type(self) is http.Wire:
+    async def faulty(self: http.Connection, *more: Any) -> Any:
+        if type(self) is http.Connection:
             raise RuntimeError("a fault of ours")
         return await original(self, *more)
 
-    monkeypatch.setattr(http.Wire, where, faulty)
+    monkeypatch.setattr(http.Connection, where, faulty)
     play(ONE + f"""
         c send job vyuctovani r1 X-Timeout:900m
         c expect HTTP/1.1 50
