Gearman front: the module becomes a package, its text as it was

Need: 970 lines own sessions, packets, the record of ends and the text commands; each that stands alone is to have a module of its own.

--- a/gaphub/net/gearman.py
+++ b/gaphub/net/gearman/front.py
@@ -24,10 +24,10 @@
 from functools import partial
 from heapq import heapify, heappop, heappush
 
-from .. import __version__
-from ..config import Config, ConfigError
-from ..core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome, Tasks
-from ..gearman.codec import (
+from ... import __version__
+from ...config import Config, ConfigError
+from ...core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome, Tasks
+from ...gearman.codec import (
     CAN_DO,
     CAN_DO_TIMEOUT,
     CANT_DO,
@@ -69,11 +69,11 @@
     pack,
     split,
 )
-from ..gearman.queues import Bounds, Queues, Waiting
-from ..gearman.schedule import Schedule, epoch, next_moment
-from ..interface import Effect, ListKind, Status, WorkerState
-from ..metrics import Counters
-from ..store import Store
+from ...gearman.queues import Bounds, Queues, Waiting
+from ...gearman.schedule import Schedule, epoch, next_moment
+from ...interface import Effect, ListKind, Status, WorkerState
+from ...metrics import Counters
+from ...store import Store
 
 SOURCE = "gearman"
 WORKLOAD_MOST = 64 * 1024
@@ -211,7 +211,7 @@
             return
         context = None
         if self.set.tls_cert:
-            from ..gearman.tls import context as read
+            from ...gearman.tls import context as read
 
             context = read(self.set)
         loop = asyncio.get_running_loop()
@@ -240,7 +240,7 @@
             self._tasks.start(self._reload_tls())
 
     async def _reload_tls(self) -> None:
-        from ..gearman.tls import context as read
+        from ...gearman.tls import context as read
 
         try:
             await self._listen_on(read(self.set))
