--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -20,7 +20,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from heapq import heapify, heappop, heappush
 
@@ -66,7 +66,6 @@
     WORK_FAIL,
     WORK_STATUS,
     PacketError,
-    pack,
     split,
 )
 from ...gearman.queues import Bounds, Queues, Waiting
@@ -74,12 +73,12 @@
 from ...interface import Effect, ListKind, Status, WorkerState
 from ...metrics import Counters
 from ...store import Store
+from .session import Assigned, Session, Work
 
 SOURCE = "gearman"
 WORKLOAD_MOST = 64 * 1024
 NAMES_MOST = 2 * 1024  # bytes of a packet besides its workload
 SKIP_MOST = 16 * 1024 * 1024  # an oversized packet up to this is read over; past it the session ends
-WRITE_MOST = 4 * 1024 * 1024  # bytes that a peer may leave unread before its session ends
 SESSIONS_PART = 0.15  # of the descriptors
 QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
 DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
@@ -92,26 +91,6 @@
 DRAIN_S = 30.0  # for a peer to take what it is sent
 
 
-@dataclass(slots=True, eq=False)
-class Work:
-    """A submitted job: its handle, who waits for it, and how far it is."""
-
-    handle: bytes
-    function: bytes
-    unique: bytes
-    priority: int
-    background: bool
-    listeners: list[Session] = field(default_factory=list)
-    job: Job | None = None
-    waiting: Waiting | None = None  # before the core; None once it was offered
-    reducer: bytes = b""  # the function that a worker of GRAB_JOB_ALL hands its parts to
-    client: int = 0  # of a scheduled job: whose it is, and its size in the queues
-    size: int = 0
-    running: bool = False
-    left_at: float = 0.0  # when the last that waited for it left before it was handed out: it is done with then
-    progress: tuple[bytes, bytes] = (b"0", b"0")
-
-
 @dataclass(slots=True)
 class End:
     """The recorded end of a job with a unique; ``body`` None: the result is kept no longer."""
@@ -122,45 +101,6 @@
     expires: float
 
 
-@dataclass(slots=True, eq=False)
-class Assigned:
-    """A call that a worker has grabbed."""
-
-    call: Call | None  # None: called off; the worker works on, and nobody waits
-    until: float  # by the worker's own CAN_DO_TIMEOUT
-    parts: bytearray = field(default_factory=bytearray)
-    excepted: bool = False  # the worker said WORK_EXCEPTION, and nothing yet that ends the job
-
-
-class Session:
-    """One connection, of a client, a worker or both; its handler task is its owner."""
-
-    def __init__(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.number = number
-        self.reader = reader
-        self.writer = writer
-        self.name = f"w{number}"
-        self.client_id = b"-"
-        self.exceptions = False
-        self.waits_for: set[Work] = set()
-        self.abilities: dict[bytes, float] = {}
-        self.asleep = False
-        self.told: tuple[int, int] | None = None  # what the core knows: state and abilities
-        self.queue: list[tuple[int, int, bytes, Call]] = []  # heap: priority, order, handle
-        self.assigned: dict[bytes, Assigned] = {}
-        self.excepted: OrderedDict[bytes, None] = OrderedDict()  # ended by WORK_EXCEPTION; WORK_FAIL may follow
-        self.latency_ms = 0.0
-
-    def send(self, kind: int, *arguments: bytes) -> None:
-        """Write a packet; a peer that does not read loses its session instead of growing the buffer."""
-        transport = self.writer.transport
-        if transport.is_closing():
-            return
-        self.writer.write(pack(kind, *arguments))
-        if transport.get_write_buffer_size() > WRITE_MOST:
-            transport.abort()
-
-
 class Gearman:
     """The front and the port of Gearman's workers."""
 
