--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -73,6 +73,7 @@
 from ...interface import Effect, ListKind, Status, WorkerState
 from ...metrics import Counters
 from ...store import Store
+from .functions import Functions
 from .session import Assigned, Session, Work
 
 SOURCE = "gearman"
@@ -112,7 +113,8 @@
         self.shutdown = shutdown
         self.set = config.fronts.gearman
         self.at = config.fronts.gearman_at()
-        self.classes = {name: i for i, name in enumerate(config.class_names)}
+        self.functions = Functions(self.set.functions, self.set.default_class, config.class_names, store,
+                                   core.clock)
         self.me = config.settings.me
         self.daemons = config.settings.balancers
         self.most = int(config.limits.sockets * SESSIONS_PART)
@@ -367,25 +369,10 @@
 
     # -- the client's side --
 
-    def _functions(self) -> dict[bytes, str]:
-        """Function to class: the deploy file's, and what the store's configuration adds."""
-        found = {name.encode(): cls for name, cls in self.set.functions.items()}
-        for key, cls in self.store.items("config/functions/", self.core.clock.now()):
-            if cls.decode() in self.classes:
-                found[key.removeprefix("config/functions/").encode()] = cls.decode()
-        return found
-
-    def _class_of(self, function: bytes) -> int | None:
-        name = self.set.functions.get(function.decode("latin-1"))
-        if name is None:
-            stored = self.store.get("config/functions/" + function.decode("latin-1"), self.core.clock.now())
-            name = stored.decode() if stored else self.set.default_class
-        return self.classes.get(name)
-
     def _submit(self, session: Session, kind: int, function: bytes, unique: bytes, workload: bytes,
                 due: float | None = None, reducer: bytes = b"") -> None:
         priority, waits = SUBMITS[kind]
-        class_index = self._class_of(function)
+        class_index = self.functions.class_of(function)
         if class_index is None:
             raise PacketError("unknown_function", "no class is set for this function")
         if len(workload) > WORKLOAD_MOST or len(function) + len(unique) > NAMES_MOST:
@@ -613,7 +600,7 @@
                         break
         if len(self._ends) > self.set.ends_most:
             for key in self._ends:
-                if not self._never_twice(self._class_of(key[0]) or 0):
+                if not self._never_twice(self.functions.class_of(key[0]) or 0):
                     self._forget_end(key)
                     break
 
@@ -635,7 +622,7 @@
             session.abilities[arguments[0]] = float(arguments[1]) if kind == CAN_DO_TIMEOUT else 0.0
         able = 0
         for function in session.abilities:
-            class_index = self._class_of(function)
+            class_index = self.functions.class_of(function)
             if class_index is not None:
                 able |= 1 << class_index
         self._workers[session.name] = session
@@ -702,7 +689,7 @@
         """The name under which this worker knows the class; the client's own where it can."""
         if work is not None and work.function in session.abilities:
             return work.function
-        return next((f for f in session.abilities if self._class_of(f) == class_index), b"")
+        return next((f for f in session.abilities if self.functions.class_of(f) == class_index), b"")
 
     def _assigned(self, session: Session, handle: bytes) -> Assigned:
         assigned = session.assigned.get(handle)
@@ -838,16 +825,11 @@
         if text == "cancel job" and len(words) == 3:
             return await self._cancel_job(words[2].encode("latin-1"))
         if text == "create function" and len(words) == 4:
-            if words[3] not in self.classes:
+            if not self.functions.has_class(words[3]):
                 return b"ERR UNKNOWN_CLASS No+such+class\n"
-            key = f"config/functions/{words[2]}"
-            return b"OK\n" if self.store.put(key, words[3].encode(), self.core.clock.now()) else \
-                b"ERR NO_ROOM Not+stored\n"
+            return b"OK\n" if self.functions.create(words[2], words[3]) else b"ERR NO_ROOM Not+stored\n"
         if text == "drop function" and len(words) == 3:
-            if self.store.get(f"config/functions/{words[2]}", self.core.clock.now()) is None:
-                return b"ERR UNKNOWN_FUNCTION Not+in+the+store\n"
-            self.store.delete(f"config/functions/{words[2]}", self.core.clock.now())
-            return b"OK\n"
+            return b"OK\n" if self.functions.drop(words[2]) else b"ERR UNKNOWN_FUNCTION Not+in+the+store\n"
         return b"ERR UNKNOWN_COMMAND Unknown+server+command\n"
 
     def _status_lines(self) -> bytes:
@@ -855,13 +837,13 @@
         running = Counter(w.function for w in self._works.values() if w.running)
         able = Counter(f for s in self._workers.values() for f in s.abilities)
         return _lines([f"{f.decode('latin-1')}\t{jobs[f]}\t{running[f]}\t{able[f]}"
-                       for f in sorted(set(self._functions()) | set(jobs))])
+                       for f in sorted(set(self.functions.all()) | set(jobs))])
 
     def _priority_lines(self) -> bytes:
         """Jobs that wait, by priority, and able workers."""
         able = Counter(f for s in self._workers.values() for f in s.abilities)
         return _lines(["\t".join([f.decode("latin-1"), *map(str, self.queues.waiting(f)), str(able[f])])
-                       for f in sorted(set(self._functions()) | set(self.queues.functions()))])
+                       for f in sorted(set(self.functions.all()) | set(self.queues.functions()))])
 
     async def _cancel_job(self, handle: bytes) -> bytes:
         """Only a job that has not been handed out can be taken back."""
