--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -17,10 +17,9 @@
 import ssl
 import time
 import zlib
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from functools import partial
 from heapq import heapify, heappop, heappush
 
@@ -73,6 +72,7 @@
 from ...interface import Effect, ListKind, Status, WorkerState
 from ...metrics import Counters
 from ...store import Store
+from .ends import End, Ends
 from .functions import Functions
 from .session import Assigned, Session, Work
 
@@ -92,16 +92,6 @@
 DRAIN_S = 30.0  # for a peer to take what it is sent
 
 
-@dataclass(slots=True)
-class End:
-    """The recorded end of a job with a unique; ``body`` None: the result is kept no longer."""
-
-    handle: bytes
-    ending: Ending
-    body: bytes | None
-    expires: float
-
-
 class Gearman:
     """The front and the port of Gearman's workers."""
 
@@ -131,8 +121,8 @@
         self._workers: dict[str, Session] = {}
         self._works: dict[bytes, Work] = {}  # by handle, while they run
         self._by_unique: dict[tuple[bytes, bytes], Work] = {}
-        self._ends: OrderedDict[tuple[bytes, bytes], End] = OrderedDict()  # oldest first
-        self._ends_bytes = 0
+        self._ends = Ends(self.set.ends_most, self.set.ends_bytes, lambda function: not self._never_twice(
+            self.functions.class_of(function) or 0))
         self.queues = Queues(Bounds(self.set.queue_most, self.set.queue_function_most,
                                     self.set.queue_client_most, self.set.queue_bytes))
         self.schedule = Schedule(self.set.schedule_most)
@@ -201,8 +191,7 @@
             self._begin_due()
             await self.core.post(self._pump)
             now = self.core.clock.now()
-            while self._ends and next(iter(self._ends.values())).expires <= now:
-                self._forget_end(next(iter(self._ends)))
+            self._ends.expire(now)
             for session in list(self._workers.values()):
                 await self._end_excepted(session)
                 for handle, assigned in list(session.assigned.items()):
@@ -573,11 +562,8 @@
             never_twice = self._never_twice(work.job.class_index)
             now = self.core.clock.now()
             if answer.ending is Ending.SERVED or (answer.ending is Ending.FAILED and never_twice):
-                end = End(work.handle, answer.ending, answer.body, now + self.set.keep_s * 1000.0)
-                self._ends[key] = end
-                self._ends_bytes += len(answer.body)
                 self._by_unique.pop(key, None)
-                self._trim()
+                self._ends.put(key, End(work.handle, answer.ending, answer.body, now + self.set.keep_s * 1000.0))
                 if never_twice:
                     self.store.put(_claim(key), answer.ending.value.encode(), now, self.set.keep_s * 1000.0)
             else:
@@ -589,24 +575,6 @@
         if drawn and self.queues.count:
             self._pump()  # its place is free
 
-    def _trim(self) -> None:
-        """Bound the record: results go first, then ends of jobs that may be repeated."""
-        if self._ends_bytes > self.set.ends_bytes:
-            for end in self._ends.values():
-                if end.body:
-                    self._ends_bytes -= len(end.body)
-                    end.body = None
-                    if self._ends_bytes <= self.set.ends_bytes * 0.9:
-                        break
-        if len(self._ends) > self.set.ends_most:
-            for key in self._ends:
-                if not self._never_twice(self.functions.class_of(key[0]) or 0):
-                    self._forget_end(key)
-                    break
-
-    def _forget_end(self, key: tuple[bytes, bytes]) -> None:
-        self._ends_bytes -= len(self._ends.pop(key).body or b"")
-
     # -- the worker's side --
 
     async def _abilities(self, session: Session, kind: int, arguments: list[bytes]) -> None:
