--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import hashlib
-import os
 import random
 import re
 import socket
@@ -23,7 +22,6 @@
 from functools import partial
 from heapq import heapify, heappop, heappush
 
-from ... import __version__
 from ...config import Config, ConfigError
 from ...core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome, Tasks
 from ...gearman.codec import (
@@ -75,6 +73,7 @@
 from .ends import End, Ends
 from .functions import Functions
 from .session import Assigned, Session, Work
+from .text import TextCommands
 
 SOURCE = "gearman"
 WORKLOAD_MOST = 64 * 1024
@@ -100,7 +99,6 @@
         self.core = core
         self.counters = counters
         self.store = store
-        self.shutdown = shutdown
         self.set = config.fronts.gearman
         self.at = config.fronts.gearman_at()
         self.functions = Functions(self.set.functions, self.set.default_class, config.class_names, store,
@@ -129,6 +127,8 @@
         self._out = [0] * len(config.class_names)  # jobs of the queues that the core has
         self._unstarted: Counter[tuple[bytes, int]] = Counter()  # drawn jobs that no worker has begun
         self._stirred = asyncio.Event()
+        self._commands = TextCommands(core, counters, self.queues, self.schedule, self.functions, self._handlers,
+                                      self._workers, self._works, self._by_unique, self._refused, shutdown)
 
     def took_over(self) -> None:
         """From now on this instance holds the service address; a former holder's jobs may still run."""
@@ -239,7 +239,7 @@
             if first != b"\0":
                 if first != b"\n":
                     line = (first + await reader.readuntil(b"\n")).decode("latin-1").split()
-                    writer.write(await self._command(line))
+                    writer.write(await self._commands.answer(line))
                     await self._drain(writer)
                 continue
             magic, kind, size = HEADER.unpack(first + await reader.readexactly(HEADER.size - 1))
@@ -449,7 +449,7 @@
         for waiting in self.queues.expired(now):
             self.counters.add("gearman.expired")
             waiting.item.waiting = None
-            self._answered(waiting.item, Answer(Ending.REFUSED), drawn=False)
+            self._refused(waiting.item)
         for class_index, out in enumerate(self._out):
             room = self.set.per_worker * self.core.able(class_index) - out
             while room > 0 and self.core.may_take() and (next_ := self.queues.draw(class_index)) is not None:
@@ -488,9 +488,9 @@
         """End all that waits: this daemon will not serve it, and none of it ran."""
         for waiting in self.queues.clear():
             waiting.item.waiting = None
-            self._answered(waiting.item, Answer(Ending.REFUSED), drawn=False)
+            self._refused(waiting.item)
         for work in self.schedule.clear():
-            self._answered(work, Answer(Ending.REFUSED), drawn=False)
+            self._refused(work)
 
     def leave(self) -> None:
         """Take nothing new, and end what waits."""
@@ -538,6 +538,10 @@
                     if packet != WORK_EXCEPTION or session.exceptions:
                         session.send(packet, work.handle, *arguments)
 
+    def _refused(self, work: Work) -> None:
+        """A job that the core has never had ends: it did not run."""
+        self._answered(work, Answer(Ending.REFUSED), drawn=False)
+
     def _unclaim(self, work: Work) -> None:
         """A job with a unique never ran: it may be submitted again."""
         assert work.job is not None
@@ -758,77 +762,6 @@
     def forget(self, destination: Destination) -> None:
         """A session that ended has given back everything already."""
 
-    # -- the text commands --
-
-    async def _command(self, words: list[str]) -> bytes:
-        self.counters.add("gearman.commands")
-        text = " ".join(words[:2])
-        if text == "status":
-            return self._status_lines()
-        if text == "workers":
-            lines = []
-            for s in self._handlers.values():
-                host = (s.writer.get_extra_info("peername") or ("-",))[0]
-                names = b" ".join(s.abilities).decode("latin-1")
-                lines.append(f"{s.number} {host} {s.client_id.decode('latin-1')} : {names}".rstrip())
-            return _lines(lines)
-        if text == "version":
-            return f"OK {__version__}\n".encode()
-        if text == "getpid":
-            return f"OK {os.getpid()}\n".encode()
-        if words[0] == "maxqueue" and 2 <= len(words) <= 5 and all(re.fullmatch(r"\d{1,9}", w)
-                                                                   for w in words[2:]):
-            self.queues.limit(words[1].encode("latin-1"), [int(w) for w in words[2:]])
-            return b"OK\n"
-        if text == "prioritystatus":
-            return self._priority_lines()
-        if words[0] == "shutdown" and words[1:] in ([], ["graceful"]):
-            self.shutdown()
-            return b"OK\n"
-        if text == "show jobs":
-            return _lines([f"{w.handle.decode('latin-1')}\t{_retries(w)}\t0\t{int(not w.running)}"
-                           for w in self._works.values()])
-        if text == "show unique" and words[2:] == ["jobs"]:
-            return _lines([unique.decode("latin-1") for _, unique in self._by_unique])
-        if text == "cancel job" and len(words) == 3:
-            return await self._cancel_job(words[2].encode("latin-1"))
-        if text == "create function" and len(words) == 4:
-            if not self.functions.has_class(words[3]):
-                return b"ERR UNKNOWN_CLASS No+such+class\n"
-            return b"OK\n" if self.functions.create(words[2], words[3]) else b"ERR NO_ROOM Not+stored\n"
-        if text == "drop function" and len(words) == 3:
-            return b"OK\n" if self.functions.drop(words[2]) else b"ERR UNKNOWN_FUNCTION Not+in+the+store\n"
-        return b"ERR UNKNOWN_COMMAND Unknown+server+command\n"
-
-    def _status_lines(self) -> bytes:
-        jobs = Counter(w.function for w in self._works.values())
-        running = Counter(w.function for w in self._works.values() if w.running)
-        able = Counter(f for s in self._workers.values() for f in s.abilities)
-        return _lines([f"{f.decode('latin-1')}\t{jobs[f]}\t{running[f]}\t{able[f]}"
-                       for f in sorted(set(self.functions.all()) | set(jobs))])
-
-    def _priority_lines(self) -> bytes:
-        """Jobs that wait, by priority, and able workers."""
-        able = Counter(f for s in self._workers.values() for f in s.abilities)
-        return _lines(["\t".join([f.decode("latin-1"), *map(str, self.queues.waiting(f)), str(able[f])])
-                       for f in sorted(set(self.functions.all()) | set(self.queues.functions()))])
-
-    async def _cancel_job(self, handle: bytes) -> bytes:
-        """Only a job that has not been handed out can be taken back."""
-        work = self._works.get(handle)
-        if work is None or work.job is None:
-            return b"ERR UNKNOWN_JOB No+such+job\n"
-        if work.running:
-            return b"ERR JOB_RUNNING It+has+begun\n"
-        if work.waiting is not None or self.schedule.remove(work):
-            if work.waiting is not None:
-                self.queues.remove(work.waiting)
-            work.waiting = None
-            self._answered(work, Answer(Ending.REFUSED), drawn=False)
-            return b"OK\n"
-        await self.core.post(partial(self.core.withdraw, work.job))
-        return b"OK\n"
-
 
 def _status(work: Work | None) -> tuple[bytes, bytes, bytes, bytes]:
     if work is None:
@@ -836,10 +769,6 @@
     return (b"1", b"1" if work.running else b"0", *work.progress)
 
 
-def _retries(work: Work) -> int:
-    return max(0, len(work.job.calls) - 1) if work.job is not None else 0
-
-
 def _claim(key: tuple[bytes, bytes]) -> str:
     return "state/jobs/" + hashlib.blake2b(b"\0".join(key), digest_size=16).hexdigest()
 
@@ -854,7 +783,3 @@
             why = "served; the result is kept no longer"
         session.send(WORK_EXCEPTION, handle, why.encode())
     session.send(WORK_FAIL, handle)
-
-
-def _lines(lines: list[str]) -> bytes:
-    return "".join(line + "\n" for line in [*lines, "."]).encode("latin-1", "replace")
