--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -74,7 +74,7 @@
 
     def __setattr__(self, name: str, value: object) -> None:
         super().__setattr__(name, value)
-        if hasattr(tunables, name):
+        if name.isupper() and hasattr(tunables, name):
             setattr(tunables, name, value)
 
 
