--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -12,7 +12,7 @@
 from heapq import heappop, heappush
 from math import exp, log
 
-from .counts import ALL, CHANGE, CHANGE_BYTES, HELLO, SLOTS, TELL_MS, Ledger, Teller, encode
+from .counts import TELL_MS, Ledger, Teller
 from .interface import (
     NEVER_RAN,
     Actions,
@@ -26,6 +26,7 @@
     Status,
     WorkerState,
 )
+from .occupancy.messages import DELTA_BYTES, Kind, encode
 
 # --- tunables ---------------------------------------------------------------------------------
 
@@ -470,7 +471,7 @@
         self.ledger = Ledger(others)
         self.teller = Teller(others)
         # Each of a job's two changes is told to every other gateway.
-        cost = settings.prices.get("peer", 0.0) * 2 * CHANGE_BYTES / 256
+        cost = settings.prices.get("peer", 0.0) * 2 * DELTA_BYTES / 256
         self.tells = settings.may_tell_peers and others > 0 and cost * others <= TELL_PRICE
         if self.tells:
             self._at(now, _ALARM_TELL, None)
@@ -743,15 +744,15 @@
         """Note that this gateway's count at a worker has changed; the others are told when it is time."""
         if self.tells:
             if self.teller.changed(now, w.id, more):
-                self._tell_all(now, CHANGE)
+                self._tell_all(now, Kind.DELTA)
             elif len(self.teller.pending) == 1:
                 self._at(self.teller.flush_at, _ALARM_FLUSH, None)
 
-    def _tell_all(self, now: float, what: int) -> None:
+    def _tell_all(self, now: float, what: Kind) -> None:
         """Tell the other gateways this one's counts: those that have changed, or all."""
         workers = self.fleet.workers
         some = [(w, workers[w].out if w in workers else 0.0) for w in self.teller.pending]
-        for data in self.teller.messages(now, what, some if what == CHANGE else self._counts()):
+        for data in self.teller.messages(now, what, some if what == Kind.DELTA else self._counts()):
             self.act.tell(-1, data)
 
     def _counts(self) -> list[tuple[int, float]]:
@@ -1226,7 +1227,7 @@
         fresh, known = report != w.report, len(r.idle_free)
         r.take(now, w, report)
         if self.tells and len(r.idle_free) > known:
-            self.act.tell(-1, encode(SLOTS, 0, list(r.idle_free.items())))  # else each finds out by itself
+            self.act.tell(-1, encode(Kind.CAPACITY, 0, list(r.idle_free.items())))  # else each finds out
         if r.useful and fresh and not self.looks and not self.set.tells_start:
             self.strain += ((report[r.slots] < 1.0) - self.strain) * STRAIN_REPORT
         if r.inflight >= 0:
@@ -1295,7 +1296,7 @@
                 self._at(now + TELL_MS * (0.8 + 0.4 * self.rng.random()), _ALARM_TELL, None)
             elif what == _ALARM_FLUSH:
                 if self.teller.flush_at and now >= self.teller.flush_at - 0.01:
-                    self._tell_all(now, CHANGE)
+                    self._tell_all(now, Kind.DELTA)
             elif what == _ALARM_LIST and not self.watching:
                 self.act.watch(True)
         self._arm(now)
@@ -1318,14 +1319,14 @@
     def on_peer(self, now: float, sender: int, data: bytes) -> None:
         """Another gateway tells what it has out."""
         found = self.ledger.take(now, sender, data) if self.tells else None
-        if found is not None and found[0] == SLOTS:
-            for kind, slots in found[1].items():
+        if found is not None and found.kind == Kind.CAPACITY:
+            for kind, slots in found.entries.items():
                 self.reports.idle_free.setdefault(kind, float(slots))
-        elif found is not None and found[0] == HELLO:
-            for message in self.teller.answer(ALL, self._counts()):
+        elif found is not None and found.kind == Kind.SNAPSHOT_REQUEST:
+            for message in self.teller.answer(Kind.SNAPSHOT, self._counts()):
                 self.act.tell(sender, message)
             if self.rng.random() * self.ledger.others < TELL_SLOTS:
-                self.act.tell(sender, encode(SLOTS, 0, list(self.reports.idle_free.items())))
+                self.act.tell(sender, encode(Kind.CAPACITY, 0, list(self.reports.idle_free.items())))
 
     def _log(self, text: str) -> None:
         if self.lines > 0:
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -12,21 +12,22 @@
 from hypothesis import strategies as st
 
 from gaphub.cli import gaphub
-from gaphub.counts import ALL, CHANGE, HELLO, MOST, SLOTS, TELL_MS, TTL_MS, Ledger, Teller, decode, encode, short
+from gaphub.counts import TELL_MS, TTL_MS, Ledger, Teller
 from gaphub.interface import ListedWorker, ListKind, Request, Settings, Status
 from gaphub.logic import Balancer
+from gaphub.occupancy.messages import MESSAGE_BYTES_MAX, Kind, decode, encode, wire_id
 
 from .fake import SAFE, Recorder, entry
 
 WORKERS = st.integers(1, 2**32 - 1)
 
 
-@given(st.sampled_from([CHANGE, ALL, HELLO, SLOTS]), st.integers(0, 10**6),
+@given(st.sampled_from(Kind), st.integers(0, 10**6),
        st.dictionaries(st.integers(0, 65535), st.integers(0, 255), max_size=84))
-def test_a_message_says_what_it_was_made_of(what: int, number: int, table: dict[int, int]) -> None:
-    data = encode(what, number, list(table.items()))
-    assert len(data) <= MOST
-    assert decode(data) == (what, number % 256, table)
+def test_a_message_says_what_it_was_made_of(kind: Kind, number: int, table: dict[int, int]) -> None:
+    data = encode(kind, number, list(table.items()))
+    assert len(data) <= MESSAGE_BYTES_MAX
+    assert decode(data) == (kind, number % 256, table)
 
 
 @given(st.lists(st.tuples(st.integers(0, 3), st.binary(max_size=300)), max_size=40))
@@ -44,15 +45,16 @@
 def test_all_that_is_told_arrives_once_in_any_order(others: int, table: dict[int, int],
                                                     rnd: random.Random) -> None:
     teller, ledger = Teller(others), Ledger(max(1, others))
-    messages = list(teller.messages(0.0, HELLO, table.items()))
+    messages = list(teller.messages(0.0, Kind.SNAPSHOT_REQUEST, table.items()))
     first, *more = messages
     rnd.shuffle(more)
     for data in [first, *more]:
         ledger.take(0.0, 1, data)
     if len(messages) == 1:
         for worker in table:
-            assert ledger.out(worker) == min(255, sum(n for w, n in table.items() if short(w) == short(worker)))
-    for data in teller.messages(1.0, ALL, ()):
+            same = [n for w, n in table.items() if wire_id(w) == wire_id(worker)]
+            assert ledger.out(worker) == min(255, sum(same))
+    for data in teller.messages(1.0, Kind.SNAPSHOT, ()):
         ledger.take(1.0, 1, data)
     assert not ledger.total
 
@@ -64,12 +66,12 @@
     waits: dict[int, float] = {}
     for gap, worker, more in changes:
         if teller.flush_at and teller.flush_at <= now + gap:
-            list(teller.messages(teller.flush_at, CHANGE, ()))
+            list(teller.messages(teller.flush_at, Kind.DELTA, ()))
             waits.clear()
         now += gap
         waits.setdefault(worker, now)
         if teller.changed(now, worker, more):
-            list(teller.messages(now, CHANGE, ()))
+            list(teller.messages(now, Kind.DELTA, ()))
             waits.clear()
         else:
             assert not more and others >= 8
@@ -93,7 +95,7 @@
     for others, silent, known in ((2, 1, False), (3, 1, False), (39, 28, True), (39, 35, False)):
         ledger = Ledger(others)
         for sender in range(others - silent):
-            ledger.take(0.0, sender, encode(HELLO, 0, []))
+            ledger.take(0.0, sender, encode(Kind.SNAPSHOT_REQUEST, 0, []))
         assert ledger.complete(1.0) is known
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -49,11 +49,16 @@
 
 
 def test_the_module_has_no_clock_io_threads_or_globals() -> None:
-    # What gateways tell each other is kept in a module of its own, which is held to the same.
-    for name, allowed in (("logic", {"random", "heapq", "math", ".interface", ".counts"}), ("counts", set())):
-        text = (ROOT / f"gaphub/{name}.py").read_text()
+    # What schedulers tell each other is kept in modules of their own, which are held to the same.
+    allowed = {"logic.py": {"random", "heapq", "math", ".interface", ".counts", ".occupancy.messages"},
+               "counts.py": {".occupancy.messages"}}
+    allowed |= {str(path.relative_to(ROOT / "gaphub")): {"enum", "typing"}
+                for path in (ROOT / "gaphub/occupancy").glob("*.py")}
+    assert "occupancy/messages.py" in allowed
+    for name, modules in allowed.items():
+        text = (ROOT / "gaphub" / name).read_text()
         imports = set(re.findall(r"^(?:from|import) (\S+)", text, re.M))
-        assert imports <= {"__future__", "collections.abc"} | allowed
+        assert imports <= {"__future__", "collections.abc"} | modules
         assert not re.search(r"\b(global|print|open\(|id\()", text)
 
 
