--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -12,7 +12,6 @@
 from heapq import heappop, heappush
 from math import exp, log
 
-from .counts import TELL_MS, Teller
 from .interface import (
     NEVER_RAN,
     Actions,
@@ -28,6 +27,7 @@
 )
 from .occupancy.ledger import Ledger
 from .occupancy.messages import DELTA_BYTES, Kind, encode
+from .occupancy.pacing import HEARTBEAT_MS, Pacing
 
 # --- tunables ---------------------------------------------------------------------------------
 
@@ -470,7 +470,7 @@
         self.why = ""  # why the request last given up was
         others = settings.balancers - 1
         self.ledger = Ledger(others)
-        self.teller = Teller(others)
+        self.pacing = Pacing(others)
         # Each of a job's two changes is told to every other gateway.
         cost = settings.prices.get("peer", 0.0) * 2 * DELTA_BYTES / 256
         self.tells = settings.may_tell_peers and others > 0 and cost * others <= TELL_PRICE
@@ -744,16 +744,16 @@
     def _tell(self, w: Worker, now: float, more: bool) -> None:
         """Note that this gateway's count at a worker has changed; the others are told when it is time."""
         if self.tells:
-            if self.teller.changed(now, w.id, more):
+            if self.pacing.changed(now, w.id, more):
                 self._tell_all(now, Kind.DELTA)
-            elif len(self.teller.pending) == 1:
-                self._at(self.teller.flush_at, _ALARM_FLUSH, None)
+            elif len(self.pacing.pending) == 1:
+                self._at(self.pacing.flush_at, _ALARM_FLUSH, None)
 
     def _tell_all(self, now: float, what: Kind) -> None:
         """Tell the other gateways this one's counts: those that have changed, or all."""
         workers = self.fleet.workers
-        some = [(w, workers[w].out if w in workers else 0.0) for w in self.teller.pending]
-        for data in self.teller.messages(now, what, some if what == Kind.DELTA else self._counts()):
+        some = [(w, workers[w].out if w in workers else 0.0) for w in self.pacing.pending]
+        for data in self.pacing.messages(now, what, some if what == Kind.DELTA else self._counts()):
             self.act.tell(-1, data)
 
     def _counts(self) -> list[tuple[int, float]]:
@@ -1291,12 +1291,12 @@
                 elif not of.over and (what == _ALARM_END or not of.started):
                     self._give_up(of, now, "late")
             elif what == _ALARM_TELL:
-                due = self.teller.next_turn(now)
+                due = self.pacing.next_turn(now)
                 if due is not None:
                     self._tell_all(now, due)
-                self._at(now + TELL_MS * (0.8 + 0.4 * self.rng.random()), _ALARM_TELL, None)
+                self._at(now + HEARTBEAT_MS * (0.8 + 0.4 * self.rng.random()), _ALARM_TELL, None)
             elif what == _ALARM_FLUSH:
-                if self.teller.flush_at and now >= self.teller.flush_at - 0.01:
+                if self.pacing.flush_at and now >= self.pacing.flush_at - 0.01:
                     self._tell_all(now, Kind.DELTA)
             elif what == _ALARM_LIST and not self.watching:
                 self.act.watch(True)
@@ -1324,7 +1324,7 @@
             for kind, slots in found.entries.items():
                 self.reports.idle_free.setdefault(kind, float(slots))
         elif found is not None and found.kind == Kind.SNAPSHOT_REQUEST:
-            for message in self.teller.answer(Kind.SNAPSHOT, self._counts()):
+            for message in self.pacing.answer(Kind.SNAPSHOT, self._counts()):
                 self.act.tell(sender, message)
             if self.rng.random() * self.ledger.others < TELL_SLOTS:
                 self.act.tell(sender, encode(Kind.CAPACITY, 0, list(self.reports.idle_free.items())))
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -12,11 +12,11 @@
 from hypothesis import strategies as st
 
 from gaphub.cli import gaphub
-from gaphub.counts import TELL_MS, Teller
 from gaphub.interface import ListedWorker, ListKind, Request, Settings, Status
 from gaphub.logic import Balancer
 from gaphub.occupancy.ledger import HEARTBEAT_TTL_MS, Ledger
 from gaphub.occupancy.messages import MESSAGE_BYTES_MAX, Kind, decode, encode, wire_id
+from gaphub.occupancy.pacing import HEARTBEAT_MS, Pacing
 
 from .fake import SAFE, Recorder, entry
 
@@ -45,8 +45,8 @@
 @given(st.integers(0, 60), st.dictionaries(WORKERS, st.integers(1, 9), max_size=200), st.randoms())
 def test_all_that_is_told_arrives_once_in_any_order(others: int, table: dict[int, int],
                                                     rnd: random.Random) -> None:
-    teller, ledger = Teller(others), Ledger(max(1, others))
-    messages = list(teller.messages(0.0, Kind.SNAPSHOT_REQUEST, table.items()))
+    pacing, ledger = Pacing(others), Ledger(max(1, others))
+    messages = list(pacing.messages(0.0, Kind.SNAPSHOT_REQUEST, table.items()))
     first, *more = messages
     rnd.shuffle(more)
     for data in [first, *more]:
@@ -55,7 +55,7 @@
         for worker in table:
             same = [n for w, n in table.items() if wire_id(w) == wire_id(worker)]
             assert ledger.out(worker) == min(255, sum(same))
-    for data in teller.messages(1.0, Kind.SNAPSHOT, ()):
+    for data in pacing.messages(1.0, Kind.SNAPSHOT, ()):
         ledger.take(1.0, 1, data)
     assert not ledger.total
 
@@ -63,31 +63,31 @@
 @given(st.integers(1, 200), st.lists(st.tuples(st.floats(0.0, 400.0), WORKERS, st.booleans()), max_size=60))
 def test_sends_are_told_at_once_and_ends_within_a_bound(others: int,
                                                         changes: list[tuple[float, int, bool]]) -> None:
-    teller, now = Teller(others), 0.0
+    pacing, now = Pacing(others), 0.0
     waits: dict[int, float] = {}
     for gap, worker, more in changes:
-        if teller.flush_at and teller.flush_at <= now + gap:
-            list(teller.messages(teller.flush_at, Kind.DELTA, ()))
+        if pacing.flush_at and pacing.flush_at <= now + gap:
+            list(pacing.messages(pacing.flush_at, Kind.DELTA, ()))
             waits.clear()
         now += gap
         waits.setdefault(worker, now)
-        if teller.changed(now, worker, more):
-            list(teller.messages(now, Kind.DELTA, ()))
+        if pacing.changed(now, worker, more):
+            list(pacing.messages(now, Kind.DELTA, ()))
             waits.clear()
         else:
             assert not more and others >= 8
-        assert set(waits) == teller.pending
-        assert all(at <= now <= at + teller.hold_ms for at in waits.values())
+        assert set(waits) == pacing.pending
+        assert all(at <= now <= at + pacing.hold_ms for at in waits.values())
 
 
 def test_a_quiet_gateway_speaks_often_enough_to_be_believed() -> None:
     for others in (1, 3, 39, 100):
-        teller, ledger, now = Teller(others), Ledger(1), 0.0
+        pacing, ledger, now = Pacing(others), Ledger(1), 0.0
         for _ in range(300):
-            due = teller.next_turn(now)
-            for data in teller.messages(now, due, ()) if due is not None else ():
+            due = pacing.next_turn(now)
+            for data in pacing.messages(now, due, ()) if due is not None else ():
                 ledger.take(now, 1, data)
-            now += TELL_MS * 1.2
+            now += HEARTBEAT_MS * 1.2
             assert ledger.complete(now)
         assert not ledger.complete(now + HEARTBEAT_TTL_MS)
 
