Occupancy: the exchange of counts behind an interface, all-to-all as the first way

The Balancer held the telling itself, so that no other way could stand beside it. OccupancyExchange says what it needs: the list, changes of own counts, messages, wakeups; back come messages to be sent and moments of wakeups. AllToAll is today's way, NoExchange what is used where telling is not allowed or dear. Random numbers are handed in. Ruled out: a shared table of own counts, read through the Balancer's workers (the exchange would depend on its objects).

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -25,9 +25,7 @@
     Status,
     WorkerState,
 )
-from .occupancy.ledger import Ledger
-from .occupancy.messages import DELTA_BYTES, Kind, encode
-from .occupancy.pacing import HEARTBEAT_MS, Pacing
+from .occupancy.exchange import Outgoing, exchange_for
 
 # --- tunables ---------------------------------------------------------------------------------
 
@@ -98,12 +96,10 @@
 FETCH_STEP = 0.03  # share; how fast the view of that moves with each served job
 WATCH_SPREAD = 0.6  # share of the ask interval over which gateways spread their first call
 RETRY_LIST_MS = 700.0  # ms; the first wait after a failed call for the list; doubles, jittered
-TELL_PRICE = 0.02  # points of the goal that telling may cost
-TELL_SLOTS = 4  # gateways that tell a new one the slots of each kind of worker
 IDLE_STEP = 0.1  # share; how fast the view of a kind's slots moves with each report of an idle worker
 LOG_LINES = 12  # lines in all; an instance tells of rare changes only
 
-_ALARM_CHECK, _ALARM_END, _ALARM_LIST, _ALARM_LOOK, _ALARM_START, _ALARM_TELL, _ALARM_FLUSH = range(7)
+_ALARM_CHECK, _ALARM_END, _ALARM_LIST, _ALARM_LOOK, _ALARM_START, _ALARM_EXCHANGE = range(6)
 
 
 # --- profiles and shares ----------------------------------------------------------------------
@@ -468,14 +464,9 @@
         self.list_wait = RETRY_LIST_MS
         self.lines = LOG_LINES
         self.why = ""  # why the request last given up was
-        others = settings.balancers - 1
-        self.ledger = Ledger(others)
-        self.pacing = Pacing(others)
-        # Each of a job's two changes is told to every other gateway.
-        cost = settings.prices.get("peer", 0.0) * 2 * DELTA_BYTES / 256
-        self.tells = settings.may_tell_peers and others > 0 and cost * others <= TELL_PRICE
-        if self.tells:
-            self._at(now, _ALARM_TELL, None)
+        self.occupancy = exchange_for(now, settings.balancers - 1, settings.may_tell_peers,
+                                      settings.prices.get("peer", 0.0))
+        self._tell(())
         if settings.must_ask:
             # Gateways that start together must not ask together: the list has a fixed capacity.
             self._at(now + settings.ask_within_ms * WATCH_SPREAD * self.rng.random(), _ALARM_LIST, None)
@@ -498,6 +489,7 @@
                 self.list_wait = RETRY_LIST_MS
             for wid in self.fleet.apply(kind, entries, self.rng.random):
                 self._forget(wid)
+            self.occupancy.set_workers({w.id: w.out for w in self.fleet.workers.values()})
             for e in entries:
                 if e.state == WorkerState.READY and now - e.ready_at_ms < self.set.cold_ms:
                     self.cut[e.zone] = 0.0  # a zone that comes back is used at once, not by rare trials
@@ -722,7 +714,7 @@
 
     def _slots(self, w: Worker, now: float) -> float:
         """The slots of a worker, where sums of the gateways' counts tell who is free; else 0."""
-        if not self.tells or not self.ledger.complete(now):
+        if not self.occupancy.complete(now):
             return 0.0
         slots = self.reports.idle_free.get(w.kind, 0.0)
         if w.ready_at > 0.0:  # cold: as many as a warm one's would run at once, and all of them slowly
@@ -731,7 +723,7 @@
 
     def _out(self, w: Worker) -> float:
         """The slots that all gateways have out at a worker."""
-        return w.out + self.ledger.out(w.id)
+        return w.out + self.occupancy.out(w.id)
 
     def _wait_ms(self, w: Worker, job: Job, now: float) -> float:
         """How long a job sent now would wait there."""
@@ -741,23 +733,17 @@
         slow = self._usual_ms(job, w) / exp(job.type.mean) / (job.hint if job.hint > 0 else 1.0)
         return max(0.0, self._out(w) + job.slots - slots) / slots * self.ran * slow
 
-    def _tell(self, w: Worker, now: float, more: bool) -> None:
-        """Note that this gateway's count at a worker has changed; the others are told when it is time."""
-        if self.tells:
-            if self.pacing.changed(now, w.id, more):
-                self._tell_all(now, Kind.DELTA)
-            elif len(self.pacing.pending) == 1:
-                self._at(self.pacing.flush_at, _ALARM_FLUSH, None)
+    def _tell_count(self, w: Worker, now: float, more: bool) -> None:
+        """Tell the peers, when it is time, that this gateway's count at a worker has changed."""
+        listed = self.fleet.workers.get(w.id)  # another than ``w`` if the list dropped it and named it anew
+        self._tell(self.occupancy.changed(now, w.id, listed.out if listed is not None else 0.0, more))
 
-    def _tell_all(self, now: float, what: Kind) -> None:
-        """Tell the other gateways this one's counts: those that have changed, or all."""
-        workers = self.fleet.workers
-        some = [(w, workers[w].out if w in workers else 0.0) for w in self.pacing.pending]
-        for data in self.pacing.messages(now, what, some if what == Kind.DELTA else self._counts()):
-            self.act.tell(-1, data)
-
-    def _counts(self) -> list[tuple[int, float]]:
-        return [(w.id, w.out) for w in self.fleet.workers.values() if w.out > 0]
+    def _tell(self, messages: Sequence[Outgoing]) -> None:
+        """Send what the exchange of counts has to say, and note when it wants to be woken."""
+        for peer, data in messages:
+            self.act.tell(peer, data)
+        while (wakeup := self.occupancy.take_wakeup()) is not None:
+            self._at(wakeup, _ALARM_EXCHANGE, None)
 
     def _rank(self, job: Job, now: float, pool: list[Worker]) -> tuple[Worker | None, int]:
         """The first in gap order, and its tier: 0 available, 1 a short wait, 2 a long one, 3 ill.
@@ -941,7 +927,7 @@
             job.key_type.met[w.id] = now
         w.out += job.slots
         w.memory_out += job.memory
-        self._tell(w, now, more=True)
+        self._tell_count(w, now, more=True)
         if w.ready_at > 0.0:
             if (cost := job.cost / self.mean_cost) > COLD_LIGHT:
                 w.cold_heavy -= cost
@@ -969,7 +955,7 @@
             a.holds = False
             a.worker.out -= a.job.slots
             a.worker.memory_out -= a.job.memory
-            self._tell(a.worker, now, more=False)
+            self._tell_count(a.worker, now, more=False)
 
     def _usual_ms(self, job: Job, w: Worker) -> float:
         """The usual response time of such a job there."""
@@ -1227,8 +1213,8 @@
         r = self.reports
         fresh, known = report != w.report, len(r.idle_free)
         r.take(now, w, report)
-        if self.tells and len(r.idle_free) > known:
-            self.act.tell(-1, encode(Kind.CAPACITY, 0, list(r.idle_free.items())))  # else each finds out
+        if len(r.idle_free) > known:
+            self._tell(self.occupancy.announce_capacity(r.idle_free))
         if r.useful and fresh and not self.looks and not self.set.tells_start:
             self.strain += ((report[r.slots] < 1.0) - self.strain) * STRAIN_REPORT
         if r.inflight >= 0:
@@ -1282,7 +1268,7 @@
         if self.armed_at and now >= self.armed_at - 0.01:
             self.armed_at = 0.0
         while heap and heap[0][0] <= now + 0.01:
-            _, _, what, of = heappop(heap)
+            due, _, what, of = heappop(heap)
             if isinstance(of, Attempt):
                 self._check(of, now)
             elif isinstance(of, Job):
@@ -1290,14 +1276,8 @@
                     self._looked(of, now)
                 elif not of.over and (what == _ALARM_END or not of.started):
                     self._give_up(of, now, "late")
-            elif what == _ALARM_TELL:
-                due = self.pacing.next_turn(now)
-                if due is not None:
-                    self._tell_all(now, due)
-                self._at(now + HEARTBEAT_MS * (0.8 + 0.4 * self.rng.random()), _ALARM_TELL, None)
-            elif what == _ALARM_FLUSH:
-                if self.pacing.flush_at and now >= self.pacing.flush_at - 0.01:
-                    self._tell_all(now, Kind.DELTA)
+            elif what == _ALARM_EXCHANGE:
+                self._tell(self.occupancy.on_wakeup(now, due, self.rng.random))
             elif what == _ALARM_LIST and not self.watching:
                 self.act.watch(True)
         self._arm(now)
@@ -1319,15 +1299,12 @@
 
     def on_peer(self, now: float, sender: int, data: bytes) -> None:
         """Another gateway tells what it has out."""
-        found = self.ledger.take(now, sender, data) if self.tells else None
-        if found is not None and found.kind == Kind.CAPACITY:
-            for kind, slots in found.entries.items():
-                self.reports.idle_free.setdefault(kind, float(slots))
-        elif found is not None and found.kind == Kind.SNAPSHOT_REQUEST:
-            for message in self.pacing.answer(Kind.SNAPSHOT, self._counts()):
-                self.act.tell(sender, message)
-            if self.rng.random() * self.ledger.others < TELL_SLOTS:
-                self.act.tell(sender, encode(Kind.CAPACITY, 0, list(self.reports.idle_free.items())))
+        idle_free = self.reports.idle_free
+        found = self.occupancy.on_message(now, sender, data, idle_free, self.rng.random)
+        for kind, slots in found.capacities.items():
+            idle_free.setdefault(kind, float(slots))
+        self._tell(found.replies)
+        self._arm(now)
 
     def _log(self, text: str) -> None:
         if self.lines > 0:
