--- /dev/null
+++ b/tests/test_occupancy.py
@@ -0,0 +1,220 @@
+"""The exchange of occupancy: what schedulers that use nothing but its interface know of each other."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gaphub.occupancy.exchange import (
+    ALL_PEERS,
+    PRICE_MAX,
+    AllToAll,
+    NoExchange,
+    OccupancyExchange,
+    Outgoing,
+    exchange_for,
+)
+from gaphub.occupancy.ledger import HEARTBEAT_TTL_MS, REORDER_MS, Ledger
+from gaphub.occupancy.messages import DELTA_BYTES, ENTRIES_MAX, MESSAGE_BYTES_MAX, Kind, decode, encode
+from gaphub.occupancy.pacing import HEARTBEAT_MS, HOLD_MS, PEERS_PER_STEP
+
+WORKERS = range(1, 9)
+SEEDS = st.integers(0, 2**32)
+few = settings(max_examples=30, deadline=None)  # whole sites, each example many messages
+
+
+class Site:
+    """Schedulers whose messages arrive at once, and whose wakeups are kept."""
+
+    def __init__(self, schedulers: int, draw: Callable[[], float]) -> None:
+        self.now = 500.0
+        self.draws = 0
+        self.all = [AllToAll(self.now, schedulers - 1) for _ in range(schedulers)]
+        self.own = [dict.fromkeys(WORKERS, 0) for _ in self.all]
+        self.capacities: list[dict[int, float]] = [{} for _ in self.all]
+        self.wakeups: list[list[float]] = [[] for _ in self.all]
+        self.sent: list[bytes] = []
+        self._draw = draw
+        for me, exchange in enumerate(self.all):
+            exchange.set_workers(self.own[me])
+            self.carry(me, ())
+
+    def random(self) -> float:
+        self.draws += 1
+        return self._draw()
+
+    def carry(self, me: int, messages: Sequence[Outgoing]) -> None:
+        while (wakeup := self.all[me].take_wakeup()) is not None:
+            assert wakeup >= self.now
+            self.wakeups[me].append(wakeup)
+        for peer, data in messages:
+            self.sent.append(data)
+            for other in range(len(self.all)) if peer == ALL_PEERS else (peer,):
+                if other != me:
+                    self.hear(me, other, data)
+
+    def hear(self, sender: int, me: int, data: bytes) -> None:
+        found = self.all[me].on_message(self.now, sender, data, self.capacities[me], self.random)
+        for kind, slots in found.capacities.items():
+            self.capacities[me].setdefault(kind, slots)
+        self.carry(me, found.replies)
+
+    def change(self, me: int, worker: int, by: int) -> None:
+        self.own[me][worker] += by
+        self.carry(me, self.all[me].changed(self.now, worker, self.own[me][worker], by > 0))
+
+    def wait(self, ms: float) -> None:
+        until = self.now + ms
+        while (first := min((at, me) for me, due in enumerate(self.wakeups) for at in due))[0] <= until:
+            self.now, me = first
+            self.wakeups[me].remove(self.now)
+            self.carry(me, self.all[me].on_wakeup(self.now, self.now, self.random))
+        self.now = until
+
+    def out_of_others(self, me: int) -> dict[int, int]:
+        return {w: sum(own[w] for other, own in enumerate(self.own) if other != me) for w in WORKERS}
+
+
+CHANGES = st.lists(st.tuples(st.integers(0, 99), st.sampled_from(WORKERS), st.booleans(), st.floats(0.0, 700.0)),
+                   max_size=30)
+
+
+@few
+@given(st.sampled_from([2, 3, 9, 20]), CHANGES, SEEDS)
+def test_all_know_what_the_others_have_out_within_the_time_that_ends_are_held(
+        schedulers: int, changes: list[tuple[int, int, bool, float]], seed: int) -> None:
+    site = Site(schedulers, random.Random(seed).random)
+    site.wait(0.0)
+    held_ms = HOLD_MS * ((schedulers - 1) // PEERS_PER_STEP)
+    for who, worker, more, pause in changes:
+        me = who % schedulers
+        if not more and not site.own[me][worker]:
+            continue
+        site.change(me, worker, 1 if more else -1)
+        for other, exchange in enumerate(site.all):
+            assert exchange.complete(site.now)
+            if more and other != me:  # a send is known at once
+                assert exchange.out(worker) >= site.out_of_others(other)[worker]
+        site.wait(pause)
+    site.wait(held_ms)
+    for me, exchange in enumerate(site.all):
+        assert {w: exchange.out(w) for w in WORKERS} == site.out_of_others(me)
+
+
+@few
+@given(st.sampled_from([2, 3, 9, 20]), SEEDS)
+def test_a_quiet_site_asks_once_and_is_heard_by_one_draw_a_turn(schedulers: int, seed: int) -> None:
+    site = Site(schedulers, random.Random(seed).random)
+    site.wait(0.0)
+    assert site.draws == schedulers * (1 + schedulers - 1)  # each its turn, and each other's request
+    site.sent.clear()
+    for _ in range(20):
+        site.draws = 0
+        due = sum(at <= site.now + 0.75 * HEARTBEAT_MS for wakeups in site.wakeups for at in wakeups)
+        site.wait(0.75 * HEARTBEAT_MS)  # less than any turn is long
+        assert site.draws == due
+        assert all(len(wakeups) == 1 for wakeups in site.wakeups)
+        assert all(exchange.complete(site.now) for exchange in site.all)
+    assert {data[0] for data in site.sent} <= {0xD0, 0xD1}
+    assert not any(exchange.complete(site.now + HEARTBEAT_TTL_MS + 1.0) for exchange in site.all)
+
+
+@few
+@given(CHANGES, SEEDS)
+def test_who_starts_anew_is_told_all_and_counted_from_nothing(changes: list[tuple[int, int, bool, float]],
+                                                              seed: int) -> None:
+    site = Site(3, random.Random(seed).random)
+    site.capacities[0] = {0: 4.0}
+    site.wait(0.0)
+    for who, worker, _, _ in changes:
+        site.change(who % 3, worker, 1)
+    site.all[2], site.own[2], site.wakeups[2] = AllToAll(site.now, 2), dict.fromkeys(WORKERS, 0), []
+    site.all[2].set_workers(site.own[2])
+    site.carry(2, ())
+    site.wait(0.0)
+    for me, exchange in enumerate(site.all):
+        assert {w: exchange.out(w) for w in WORKERS} == site.out_of_others(me)
+    assert site.capacities[2] == {0: 4}  # at most four peers: each answers
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.booleans(), st.integers(1, 6)), max_size=30))
+def test_of_a_worker_that_the_list_no_longer_names_it_is_told_that_nothing_is_out(
+        steps: list[tuple[int, bool, int]]) -> None:
+    exchange = AllToAll(0.0, 3)
+    listed: dict[int, float] = {}
+    for worker, named, out in steps:
+        listed.pop(worker, None)
+        if named:
+            listed[worker] = float(out)
+        exchange.set_workers(listed)
+        (told,) = exchange.changed(0.0, worker, listed.get(worker, 0.0), True)
+        assert decode(told.data) == (Kind.DELTA, told.data[1], {worker: out if named else 0})
+    replies = exchange.on_message(0.0, 1, encode(Kind.SNAPSHOT_REQUEST, 0, []), {}, lambda: 0.9).replies
+    snapshot = decode(replies[0].data)
+    assert snapshot is not None and snapshot.kind == Kind.SNAPSHOT
+    assert list(snapshot.entries.items()) == list(listed.items())  # in the list's order
+    assert {reply.peer for reply in replies} == {1}
+
+
+@given(st.binary(max_size=60), st.integers(0, 5))
+def test_whatever_comes_only_a_request_is_answered(data: bytes, sender: int) -> None:
+    exchange = AllToAll(0.0, 9)
+    found = exchange.on_message(0.0, sender, data, {0: 4.0}, lambda: 0.0)
+    message = decode(data)
+    asked = message is not None and message.kind == Kind.SNAPSHOT_REQUEST
+    assert [reply.peer for reply in found.replies] == [sender] * (2 if asked else 0)
+    assert bool(found.capacities) == (message is not None and message.kind == Kind.CAPACITY and len(data) > 2)
+
+
+@given(st.sampled_from(Kind), st.integers(0, 255), st.binary(max_size=MESSAGE_BYTES_MAX + 9))
+def test_a_message_that_is_read_is_written_alike(kind: Kind, sequence: int, entries: bytes) -> None:
+    data = encode(kind, sequence, []) + entries
+    message = decode(data)
+    keys = [entries[at:at + 2] for at in range(0, len(entries), 3)]
+    assert (message is None) == (len(entries) % 3 > 0 or len(keys) > ENTRIES_MAX)
+    if message is not None and len(set(keys)) == len(keys):
+        assert encode(message.kind, message.sequence, list(message.entries.items())) == data
+
+
+@given(st.integers(0, 255), st.integers(1, 100).flatmap(lambda n: st.permutations(range(n))))
+def test_of_messages_that_overtake_each_other_the_latest_holds(first: int, order: list[int]) -> None:
+    ledger = Ledger(1)
+    for at, nth in enumerate(order):
+        ledger.take(at * REORDER_MS / 101, 0, encode(Kind.DELTA, first + nth, [(7, 1 + nth)]))
+    assert ledger.out(7) == len(order)
+
+
+@pytest.mark.parametrize("others", [1, 39])
+def test_the_way_follows_what_is_allowed_and_what_it_costs(others: int) -> None:
+    most = PRICE_MAX * MESSAGE_BYTES_MAX / (2 * DELTA_BYTES * others)
+    ways = [exchange_for(0.0, others, allowed, price)
+            for allowed, price in ((True, 0.0), (True, 0.99 * most), (True, 1.01 * most), (False, 0.0))]
+    assert [type(way) for way in ways] == [AllToAll, AllToAll, NoExchange, NoExchange]
+    assert isinstance(exchange_for(0.0, 0, True, 0.0), NoExchange)
+
+
+def test_without_an_exchange_nothing_is_told_and_nothing_known() -> None:
+    exchange: OccupancyExchange = NoExchange()
+    exchange.set_workers({1: 2.0})
+    told = [*exchange.changed(0.0, 1, 3.0, True), *exchange.announce_capacity({0: 4.0}),
+            *exchange.on_wakeup(0.0, 0.0, lambda: 0.0)]
+    found = exchange.on_message(0.0, 1, encode(Kind.SNAPSHOT_REQUEST, 0, [(1, 5)]), {0: 4.0}, lambda: 0.0)
+    assert not told and not found.replies and not found.capacities
+    assert exchange.take_wakeup() is None
+    assert not exchange.complete(0.0) and exchange.out(1) == 0
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.binary(max_size=9)), max_size=20))
+def test_the_sums_in_use_are_of_distinct_peers(messages: list[tuple[int, bytes]]) -> None:
+    exchange = AllToAll(0.0, 4)
+    told: Counter[int] = Counter()
+    for sender, count in messages:
+        exchange.on_message(0.0, sender, encode(Kind.SNAPSHOT, 0, [(3, len(count))]), {}, lambda: 0.0)
+        told[sender] = len(count)
+        assert exchange.out(3) == sum(told.values())
+        assert exchange.complete(0.0) == (len(told) >= 3)
