--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -25,7 +25,7 @@
     Status,
     WorkerState,
 )
-from .occupancy.exchange import Outgoing, exchange_for
+from .occupancy.exchange import NoExchange, Outgoing, exchange_for
 
 # --- tunables ---------------------------------------------------------------------------------
 
@@ -466,6 +466,7 @@
         self.why = ""  # why the request last given up was
         self.occupancy = exchange_for(now, settings.balancers - 1, settings.may_tell_peers,
                                       settings.prices.get("peer", 0.0))
+        self.tells = not isinstance(self.occupancy, NoExchange)
         self._tell(())
         if settings.must_ask:
             # Gateways that start together must not ask together: the list has a fixed capacity.
@@ -714,7 +715,7 @@
 
     def _slots(self, w: Worker, now: float) -> float:
         """The slots of a worker, where sums of the gateways' counts tell who is free; else 0."""
-        if not self.occupancy.complete(now):
+        if not self.tells or not self.occupancy.complete(now):
             return 0.0
         slots = self.reports.idle_free.get(w.kind, 0.0)
         if w.ready_at > 0.0:  # cold: as many as a warm one's would run at once, and all of them slowly
@@ -735,8 +736,10 @@
 
     def _tell_count(self, w: Worker, now: float, more: bool) -> None:
         """Tell the peers, when it is time, that this gateway's count at a worker has changed."""
-        listed = self.fleet.workers.get(w.id)  # another than ``w`` if the list dropped it and named it anew
-        self._tell(self.occupancy.changed(now, w.id, listed.out if listed is not None else 0.0, more))
+        if self.tells:
+            listed = self.fleet.workers.get(w.id)  # another than ``w`` if dropped and named anew since
+            slots_out = listed.out if listed is not None else 0.0
+            self._tell(self.occupancy.changed(now, w.id, slots_out, more))
 
     def _tell(self, messages: Sequence[Outgoing]) -> None:
         """Send what the exchange of counts has to say, and note when it wants to be woken."""
--- a/gaphub/occupancy/exchange.py
+++ b/gaphub/occupancy/exchange.py
@@ -11,7 +11,16 @@
 from typing import NamedTuple, Protocol
 
 from .ledger import Ledger
-from .messages import DELTA_BYTES, MESSAGE_BYTES_MAX, Kind, encode
+from .messages import (
+    CAPACITY,
+    DELTA,
+    DELTA_BYTES,
+    MESSAGE_BYTES_MAX,
+    SNAPSHOT,
+    SNAPSHOT_REQUEST,
+    Kind,
+    encode,
+)
 from .pacing import HEARTBEAT_MS, Pacing
 
 ALL_PEERS = -1  # as the peer of a message: to each of them
@@ -154,11 +163,11 @@
         message = self._ledger.take(now, sender, data)
         if message is None:
             return NO_NEWS
-        if message.kind == Kind.CAPACITY:
+        if message.kind is CAPACITY:
             return Received(capacities=message.entries)
-        if message.kind != Kind.SNAPSHOT_REQUEST:
+        if message.kind is not SNAPSHOT_REQUEST:
             return NO_NEWS
-        replies = [Outgoing(sender, data) for data in self._pacing.answer(Kind.SNAPSHOT, self._snapshot())]
+        replies = [Outgoing(sender, data) for data in self._pacing.answer(SNAPSHOT, self._snapshot())]
         if random() * self._others < CAPACITY_ANSWERS:
             replies.append(self._capacity_message(sender, capacities))
         return Received(replies)
@@ -180,7 +189,7 @@
     def _turn(self, now: float, random: Random) -> Sequence[Outgoing]:
         kind = self._pacing.next_turn(now)
         told: Sequence[Outgoing] = NOTHING
-        if kind == Kind.DELTA:
+        if kind is DELTA:
             told = self._tell_pending(now)
         elif kind is not None:
             told = self._tell(now, kind, self._snapshot())
@@ -189,7 +198,7 @@
 
     def _tell_pending(self, now: float) -> Sequence[Outgoing]:
         own = self._own
-        return self._tell(now, Kind.DELTA, [(worker, own.get(worker, 0.0)) for worker in self._pacing.pending])
+        return self._tell(now, DELTA, [(worker, own.get(worker, 0.0)) for worker in self._pacing.pending])
 
     def _tell(self, now: float, kind: Kind, counts: Sequence[tuple[int, float]]) -> Sequence[Outgoing]:
         return [Outgoing(ALL_PEERS, data) for data in self._pacing.messages(now, kind, counts)]
@@ -199,7 +208,7 @@
 
     @staticmethod
     def _capacity_message(peer: int, capacities: Mapping[int, float]) -> Outgoing:
-        return Outgoing(peer, encode(Kind.CAPACITY, 0, list(capacities.items())))
+        return Outgoing(peer, encode(CAPACITY, 0, list(capacities.items())))
 
 
 def exchange_for(now: float, others: int, allowed: bool, price: float) -> OccupancyExchange:
--- a/gaphub/occupancy/ledger.py
+++ b/gaphub/occupancy/ledger.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .messages import Kind, Message, decode, wire_id
+from .messages import CAPACITY, DELTA, SNAPSHOT_REQUEST, Message, decode, wire_id
 
 NEVER_MS = -1e18  # before any moment
 HEARTBEAT_TTL_MS = 3_500.0  # ms; a peer that told nothing for so long is not there, and its counts are dropped
@@ -38,32 +38,31 @@
         A CAPACITY message is handed back as it is: it tells nothing of occupancy.
         """
         message = decode(data)
-        if message is None or message.kind == Kind.CAPACITY:
-            return message
-        kind, sequence, told = message
-        if kind != Kind.SNAPSHOT_REQUEST and self._overtaken(now, sender, sequence):
+        if message is None:
             return None
+        kind, sequence, told = message
+        if kind is CAPACITY:
+            return message
+        behind = (self.sequence.get(sender, sequence) - sequence) % SEQUENCE_NUMBERS
+        if 0 < behind < SEQUENCE_NUMBERS // 2 and kind is not SNAPSHOT_REQUEST:
+            if now - self.heard_at.get(sender, NEVER_MS) < REORDER_MS:
+                return None  # a later message of the same life was heard first
         self._asked_at = NEVER_MS
         self.sequence[sender] = sequence
         self.heard_at[sender] = now
         counts = self.counts.setdefault(sender, {})
-        if kind != Kind.DELTA:
+        if kind is not DELTA:
             self._clear(counts)
         for key, n in told.items():
-            self._add(key, n - counts.get(key, 0))
+            before = counts.get(key, 0)
+            if n != before:
+                self._add(key, n - before)
             if n:
                 counts[key] = n
             else:
                 counts.pop(key, None)
         return message
 
-    def _overtaken(self, now: float, sender: int, sequence: int) -> bool:
-        """Whether a later message of the same life was heard first."""
-        behind = (self.sequence.get(sender, sequence - 1) - sequence) % SEQUENCE_NUMBERS
-        if not 0 < behind < SEQUENCE_NUMBERS // 2:
-            return False
-        return now - self.heard_at.get(sender, NEVER_MS) < REORDER_MS
-
     def _add(self, key: int, n: int) -> None:
         total = self.total.get(key, 0) + n
         if total:
--- a/gaphub/occupancy/messages.py
+++ b/gaphub/occupancy/messages.py
@@ -33,6 +33,7 @@
 
 
 KINDS = tuple(Kind)
+DELTA, SNAPSHOT, SNAPSHOT_REQUEST, CAPACITY = KINDS  # read for each message: faster than attributes of an enum
 
 
 class Message(NamedTuple):
@@ -50,8 +51,10 @@
 
 def encode(kind: Kind, sequence: int, entries: Sequence[tuple[int, float]]) -> bytes:
     """One message of at most ``ENTRIES_MAX`` wire ids and counts; counts are rounded and end at ``COUNT_MAX``."""
-    parts = [key.to_bytes(2, "big") + bytes((max(0, min(COUNT_MAX, round(n))),)) for key, n in entries]
-    return bytes((FORMAT | kind, sequence & 255)) + b"".join(parts)
+    data = bytes((FORMAT | kind, sequence & 255))
+    for key, n in entries:
+        data += bytes((key >> 8, key & 255, max(0, min(COUNT_MAX, round(n)))))
+    return data
 
 
 def decode(data: bytes) -> Message | None:
@@ -65,5 +68,6 @@
     entries: dict[int, int] = {}
     for i in range(HEAD_BYTES, size, ENTRY_BYTES):
         key = data[i] << 8 | data[i + 1]
-        entries[key] = min(COUNT_MAX, entries.get(key, 0) + data[i + 2])
+        count = data[i + 2]
+        entries[key] = min(COUNT_MAX, entries[key] + count) if key in entries else count
     return Message(KINDS[number], data[1], entries)
--- a/gaphub/occupancy/pacing.py
+++ b/gaphub/occupancy/pacing.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 
-from .messages import ENTRIES_MAX, Kind, encode, wire_id
+from .messages import DELTA, ENTRIES_MAX, SNAPSHOT, SNAPSHOT_REQUEST, Kind, encode, wire_id
 
 NEVER_MS = -1e18  # before any moment
 HEARTBEAT_MS = 1_000.0  # ms; the time from one turn to the next, on average
@@ -48,10 +48,10 @@
         """What this turn brings; None: something was told lately, and that is enough of a heartbeat."""
         self.turn += 1
         if self.turn == 0:
-            return Kind.SNAPSHOT_REQUEST
+            return SNAPSHOT_REQUEST
         if self.turn == 1 or self.turn % self.snapshot_turns == 0:
-            return Kind.SNAPSHOT
-        return Kind.DELTA if self.pending or now - self.told_at >= HEARTBEAT_MS / 2 else None
+            return SNAPSHOT
+        return DELTA if self.pending or now - self.told_at >= HEARTBEAT_MS / 2 else None
 
     def messages(self, now: float, kind: Kind, counts: Iterable[tuple[int, float]]) -> list[bytes]:
         """Messages to all peers that tell these workers' counts; nothing is pending after them."""
@@ -69,5 +69,5 @@
         messages = []
         for at in range(0, len(table) or 1, ENTRIES_MAX):
             self.sequence += 1
-            messages.append(encode(Kind.DELTA if at else kind, self.sequence, table[at:at + ENTRIES_MAX]))
+            messages.append(encode(DELTA if at else kind, self.sequence, table[at:at + ENTRIES_MAX]))
         return messages
--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -218,3 +218,16 @@
         told[sender] = len(count)
         assert exchange.out(3) == sum(told.values())
         assert exchange.complete(0.0) == (len(told) >= 3)
+
+
+@given(st.integers(0, 255), st.integers(-300, 300), st.floats(0.0, 10.0 * HEARTBEAT_TTL_MS))
+def test_a_peer_that_is_heard_again_counts_whatever_its_sequence_number(first: int, step: int,
+                                                                        pause: float) -> None:
+    ledger = Ledger(1)
+    ledger.take(0.0, 0, encode(Kind.SNAPSHOT, first, [(7, 1), (8, 1)]))
+    silent = pause > HEARTBEAT_TTL_MS
+    assert ledger.complete(pause) is not silent
+    ledger.take(pause, 0, encode(Kind.DELTA, first + step, [(7, 2)]))
+    overtaken = pause < REORDER_MS and 0 < -step % 256 < 128
+    assert ledger.complete(pause)
+    assert (ledger.out(7), ledger.out(8)) == (1 if overtaken else 2, 0 if silent else 1)
