--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -467,7 +467,7 @@
         self.occupancy = exchange_for(now, settings.balancers - 1, settings.may_tell_peers,
                                       settings.prices.get("peer", 0.0))
         self.tells = not isinstance(self.occupancy, NoExchange)
-        self._tell(())
+        self._tell(())  # nothing yet, but it may want to be woken
         if settings.must_ask:
             # Gateways that start together must not ask together: the list has a fixed capacity.
             self._at(now + settings.ask_within_ms * WATCH_SPREAD * self.rng.random(), _ALARM_LIST, None)
--- a/gaphub/occupancy/ledger.py
+++ b/gaphub/occupancy/ledger.py
@@ -19,11 +19,10 @@
 class Ledger:
     """What each peer has out at each worker, by wire id, as it last told; and the sums over the peers."""
 
-    __slots__ = ("others", "counts", "total", "heard_at", "sequence", "_quorum", "_asked_at", "_complete")
+    __slots__ = ("counts", "total", "heard_at", "sequence", "_quorum", "_asked_at", "_complete")
 
     def __init__(self, others: int) -> None:
         """``others``: how many other schedulers there are."""
-        self.others = others
         self.counts: dict[int, dict[int, int]] = {}  # by peer and wire id; no zeros
         self.total: dict[int, int] = {}  # by wire id: the sums over the peers; no zeros
         self.heard_at: dict[int, float] = {}  # by peer: when it was last heard
