--- a/gaphub/lab/scale/hollow.py
+++ b/gaphub/lab/scale/hollow.py
@@ -1,6 +1,6 @@
 """Owns the hollow schedulers: what many schedulers would say to the real ones at a given load.
 
-A hollow scheduler has a table of what runs where, a real ``Teller`` that decides when to say what of it, and an
+A hollow scheduler has a table of what runs where, a real ``Pacing`` that decides when to say what of it, and an
 address of its own.  It sends to the real schedulers only: those are measured, and what hollow ones would say to
 each other costs the real ones nothing.  What comes to its socket is never read; the kernel drops it.
 
@@ -26,9 +26,10 @@
 from msgspec import Struct
 
 from ...config import Address
-from ...counts import ALL, CHANGE, TELL_MS, Teller
 from ...net.destinations import SOURCE
 from ...net.peers import BEAT, BEAT_AMONG, BEAT_S
+from ...occupancy.messages import DELTA, SNAPSHOT, Kind
+from ...occupancy.pacing import HEARTBEAT_MS, Pacing
 
 TICK_S = 0.001  # between two looks at what is due
 STEP_MOST_MS = 50.0  # ms; what a later look would have had to do is left out, and shows in ``covered_s``
@@ -75,12 +76,12 @@
 class HollowScheduler:
     """What one scheduler has out, and what it says of it."""
 
-    __slots__ = ("counts", "teller")
+    __slots__ = ("counts", "pacing")
 
     def __init__(self, others: int) -> None:
         """``others``: how many other schedulers there are."""
         self.counts: dict[int, int] = {}
-        self.teller = Teller(others)
+        self.pacing = Pacing(others)
 
     def change(self, now: float, worker: int, more: bool) -> list[bytes]:
         """A task started (``more``) or ended; what is to be said at once."""
@@ -89,22 +90,22 @@
             self.counts[worker] = left
         else:
             del self.counts[worker]
-        return self.say(now, CHANGE) if self.teller.changed(now, worker, more) else []
+        return self.say(now, DELTA) if self.pacing.changed(now, worker, more) else []
 
     def turn(self, now: float) -> list[bytes]:
-        """What is due once in ``TELL_MS``."""
-        due = self.teller.next_turn(now)
+        """What is due once in ``HEARTBEAT_MS``."""
+        due = self.pacing.next_turn(now)
         return [] if due is None else self.say(now, due)
 
     def flush(self, now: float) -> list[bytes]:
         """The ends that have waited long enough for company."""
-        due = self.teller.flush_at and now >= self.teller.flush_at
-        return self.say(now, CHANGE) if due else []
+        due = self.pacing.flush_at and now >= self.pacing.flush_at
+        return self.say(now, DELTA) if due else []
 
-    def say(self, now: float, what: int) -> list[bytes]:
+    def say(self, now: float, kind: Kind) -> list[bytes]:
         """Messages with what has changed, or with the whole table."""
-        workers = list(self.teller.pending) if what == CHANGE else list(self.counts)
-        return list(self.teller.messages(now, what, [(w, self.counts.get(w, 0)) for w in workers]))
+        workers = list(self.pacing.pending) if kind is DELTA else list(self.counts)
+        return list(self.pacing.messages(now, kind, [(w, self.counts.get(w, 0)) for w in workers]))
 
 
 class HollowFleet:
@@ -139,7 +140,7 @@
 
     def _schedule(self, now: float) -> None:
         for i, one in enumerate(self.schedulers):
-            one.teller.turn = self.draw.randrange(1, 1 + one.teller.whole_every)  # as if it ran for long
+            one.pacing.turn = self.draw.randrange(1, 1 + one.pacing.snapshot_turns)  # as if it ran for long
             part = i / len(self.schedulers)
             heappush(self._due, (now + part * self.plan.fill_s * 1000.0, _WHOLE, i))
             heappush(self._due, (now + self.draw.random() * BEAT_S * 1000.0 * self.pace, _BEAT, i))
@@ -174,11 +175,11 @@
         i, worker = self.tasks.pop()
         self.ends += 1
         one = self.schedulers[i]
-        waited = one.teller.flush_at
+        waited = one.pacing.flush_at
         for data in one.change(now, worker, more=False):
             yield i, data
-        if one.teller.flush_at and one.teller.flush_at != waited:
-            heappush(self._due, (one.teller.flush_at, _FLUSH, i))
+        if one.pacing.flush_at and one.pacing.flush_at != waited:
+            heappush(self._due, (one.pacing.flush_at, _FLUSH, i))
 
     def _ring(self, now: float, what: int, i: int) -> list[bytes]:
         one = self.schedulers[i]
@@ -187,8 +188,8 @@
         if what == _BEAT:
             heappush(self._due, (now + BEAT_S * 1000.0 * self.pace, _BEAT, i))
             return [bytes([BEAT, 1])]
-        heappush(self._due, (now + TELL_MS * (0.8 + 0.4 * self.draw.random()), _TURN, i))
-        return one.turn(now) if what == _TURN else one.say(now, ALL)
+        heappush(self._due, (now + HEARTBEAT_MS * (0.8 + 0.4 * self.draw.random()), _TURN, i))
+        return one.turn(now) if what == _TURN else one.say(now, SNAPSHOT)
 
 
 class Sender:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -17,7 +17,6 @@
 from click.testing import CliRunner
 
 from gaphub.cli import gaphub
-from gaphub.counts import ALL, CHANGE, MOST, Ledger, decode, short
 from gaphub.lab.scale import runner
 from gaphub.lab.scale.discovery import Registry
 from gaphub.lab.scale.hollow import HollowFleet, HollowPlan, HollowScheduler, worker_name, worker_number
@@ -36,6 +35,8 @@
 from gaphub.lab.scale.sampling import Sample, measured
 from gaphub.lab.scale.scenario import Scenario, ScenarioError, Sweeps, plan, read_scenario
 from gaphub.net.peers import BEAT
+from gaphub.occupancy.ledger import Ledger
+from gaphub.occupancy.messages import DELTA, MESSAGE_BYTES_MAX, SNAPSHOT, decode, wire_id
 
 ROOT = Path(__file__).resolve().parent.parent
 SHORT = ROOT / "deploy" / "scale" / "short.toml"
@@ -194,19 +195,19 @@
     fleet, said = _play(_plan(schedulers, 200.0, 3_000), 4.0)
     ledger, now = Ledger(schedulers - 1), 4_000.0
     for i, one in enumerate(fleet.schedulers):  # the ends that still wait for company
-        said += [(now, i, data) for data in one.say(now, CHANGE)]
+        said += [(now, i, data) for data in one.say(now, DELTA)]
     beats = 0
     for at, i, data in said:
         if data[0] == BEAT:
             beats += 1
             continue
         assert decode(data) is not None
-        assert len(data) <= MOST
+        assert len(data) <= MESSAGE_BYTES_MAX
         assert ledger.take(at, i, data) is not None
     assert beats >= len(fleet.schedulers) * 4.0 / (0.5 * fleet.pace) * 0.5
-    assert len({short(n) for n in fleet.numbers}) == len(fleet.numbers)  # else sums would have to be compared
+    assert len({wire_id(n) for n in fleet.numbers}) == len(fleet.numbers)  # else sums would have to be compared
     for i, one in enumerate(fleet.schedulers):
-        assert ledger.counts[i] == {short(w): n for w, n in one.counts.items()}
+        assert ledger.counts[i] == {wire_id(w): n for w, n in one.counts.items()}
     assert sum(ledger.total.values()) == len(fleet.tasks) == 3_000
 
 
@@ -232,15 +233,15 @@
 def test_a_hollow_scheduler_tells_a_start_at_once_and_an_end_with_company() -> None:
     few, many = HollowScheduler(5), HollowScheduler(30)
     for one in (few, many):
-        one.say(0.0, ALL)
+        one.say(0.0, SNAPSHOT)
         (data,) = one.change(1.0, 77, more=True)
         told = decode(data)
         assert told is not None
         assert told[2] == {77: 1}
     assert few.change(2.0, 77, more=False)  # among few every end is told
     assert not many.change(2.0, 77, more=False)
-    assert not many.flush(many.teller.flush_at - 1.0)
-    (data,) = many.flush(many.teller.flush_at)
+    assert not many.flush(many.pacing.flush_at - 1.0)
+    (data,) = many.flush(many.pacing.flush_at)
     told = decode(data)
     assert told is not None
     assert told[2] == {77: 0}
