--- /dev/null
+++ b/gaphub/lab/scale/plots.py
@@ -0,0 +1,93 @@
+"""Plots of a series as SVG: points, line, interval and budget; the same series gives the same bytes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+import numpy as np
+from matplotlib.figure import Figure
+
+from .budget import Target
+from .fit import CONFIDENCE
+from .series import Series
+
+SETTINGS = {"svg.hashsalt": "gaphub", "svg.fonttype": "none", "font.size": 9.0}
+METADATA = {"Date": None, "Creator": None}  # else the file would change with the day and with the library
+PANEL_INCHES = (4.2, 3.4)
+LEGEND_COLUMNS = 3
+STEPS = 60  # of a drawn line
+FAR = 1.5  # a target so many times beyond the greatest load gets a panel of its own
+MARGIN = 1.03  # of the greatest load shown
+OFF_LINE = "#c0392b"
+IN_LINE = "#1f4e79"
+
+
+def draw(series: Series, target: Target, path: Path) -> None:
+    """Write the plot of a series: over the measured loads, and up to the target if that lies far beyond."""
+    at_target = series.sweep.swept.of_target(target)
+    greatest = max(each.x for each in series.observations)
+    ends = [greatest, at_target] if at_target > FAR * greatest else [max(greatest, at_target)]
+    if series.line is None:
+        ends = [greatest]
+    with matplotlib.rc_context(SETTINGS):
+        figure = Figure(figsize=(PANEL_INCHES[0] * len(ends), PANEL_INCHES[1]), layout="constrained")
+        panels = figure.subplots(1, len(ends), squeeze=False)[0]
+        for panel, end in zip(panels, ends, strict=True):
+            _panel(panel, series, end, at_target)
+        _legend(figure, panels)
+        figure.suptitle(f"{series.sweep.title} - {series.measure.title}")
+        figure.savefig(path, format="svg", metadata=METADATA)
+
+
+def _legend(figure: Any, panels: Any) -> None:
+    """One legend below all panels; the target may be drawn in the last one only."""
+    handles: dict[str, Any] = {}
+    for panel in panels:
+        for handle, label in zip(*panel.get_legend_handles_labels(), strict=True):
+            handles.setdefault(label, handle)
+    figure.legend(list(handles.values()), list(handles), loc="outside lower center", ncols=LEGEND_COLUMNS,
+                  fontsize=7)
+
+
+def _panel(panel: Any, series: Series, end: float, at_target: float) -> None:
+    """The points and the line from no load to ``end``."""
+    _points(panel, series)
+    if series.line is not None:
+        _line(panel, series, end)
+    if series.measure.budget is not None:
+        panel.axhline(series.measure.budget, color="black", linestyle="--", linewidth=1, label="budget")
+    if at_target <= end:
+        panel.axvline(at_target, color="grey", linestyle=":", linewidth=1, label="target")
+    panel.set_xlim(0.0, end * MARGIN or 1.0)
+    panel.set_ylim(bottom=min(0.0, panel.get_ylim()[0]))
+    panel.set_xlabel(series.sweep.swept.title)
+    panel.set_ylabel(series.measure.unit)
+    panel.grid(alpha=0.3)
+
+
+def _points(panel: Any, series: Series) -> None:
+    """Each point at its mean, with the range of its processes; those off the line in another colour and form."""
+    count = len(series.observations)
+    off_line = (False,) * count if series.line is None else series.line.outliers
+    for off, colour, form, label in ((False, IN_LINE, "o", "points"), (True, OFF_LINE, "X", "off the line")):
+        shown = [each for each, outlier in zip(series.observations, off_line, strict=True) if outlier is off]
+        if not shown:
+            continue
+        means = [each.mean for each in shown]
+        below = [max(each.mean - min(each.values), 0.0) for each in shown]
+        above = [max(max(each.values) - each.mean, 0.0) for each in shown]
+        panel.errorbar([each.x for each in shown], means, yerr=[below, above], color=colour, fmt=form,
+                       markersize=4, elinewidth=0.8, label=label)
+
+
+def _line(panel: Any, series: Series, end: float) -> None:
+    """The fitted line with the interval of its mean."""
+    assert series.line is not None
+    xs = [float(x) for x in np.linspace(0.0, end, STEPS)]
+    estimates = [series.line.mean_at(x) for x in xs]
+    bend = " (bent)" if series.line.curved else ""
+    panel.plot(xs, [each.value for each in estimates], color=IN_LINE, linewidth=1, label=f"line{bend}")
+    panel.fill_between(xs, [each.low for each in estimates], [each.high for each in estimates], color=IN_LINE,
+                       alpha=0.15, linewidth=0, label=f"{CONFIDENCE:.0%} interval")
