--- a/gaphub/lab/scale/tables.py
+++ b/gaphub/lab/scale/tables.py
@@ -79,9 +79,9 @@
         f"- Measured: {_range(sweep.x(each.point) for each in points)} {sweep.swept.title}; the target, "
         f"{load_number(sweep.swept.of_target(target))}, is {_beyond(sweep, target)}",
         f"- Held: {_held(sweep)}",
-        f"- Commit: {_join(_commit(each) for each in points)}",
+        f"- Commit: {_one(_commit(each) for each in points)}",
         f"- Seed: {_join(str(each.point.seed) for each in points)}",
-        f"- Machine: {_join(_machine(each) for each in points)}",
+        f"- Machine: {_one(_machine(each) for each in points)}",
         f"- Points: {_join(each.file for each in points)}",
     ]
     remarks = sweep.remarks()
@@ -130,6 +130,12 @@
     return ", ".join(sorted(set(texts)))
 
 
+def _one(texts: Iterable[str]) -> str:
+    """What should be the same for all points of a sweep; it is marked if it is not."""
+    found = set(texts)
+    return _join(found) + (" (**varied**)" if len(found) > 1 else "")
+
+
 def _commit(each: Sourced) -> str:
     return each.point.commit + (" (with uncommitted changes)" if each.point.dirty else "")
 
@@ -245,7 +251,7 @@
     if line is not None and line.curved is None:
         found.append("form untested")
     if line is not None and any(line.outliers):
-        found.append(f"{sum(line.outliers)} points off the line")
+        found.append(f"{sum(line.outliers)} of {line.count} points off the line")
     if series.sweep.swept.of_target(target) > series.sweep.greatest():
         found.append(f"target {_beyond(series.sweep, target)}")
     missed, without_baseline = series.missed(), series.without_baseline()
--- a/tests/test_scale_report.py
+++ b/tests/test_scale_report.py
@@ -349,7 +349,7 @@
     found = section(text, "steady: workers: control CPU, % of a core")
     assert "](steady-workers-cpu.svg)" in found
     assert "| 100 | 3 | 4.34 | 0.94..11.1 | points.jsonl, point 5 |" in found
-    assert "1 points off the line" in section(text, "Against the budgets, worst first")
+    assert "1 of 12 points off the line" in section(text, "Against the budgets, worst first")
     assert "off the line" in (tmp_path / "out" / "steady-workers-cpu.svg").read_text()
 
 
@@ -360,13 +360,17 @@
     times = points[2].in_force_ms
     assert times is not None
     points[2] = msgspec.structs.replace(points[2], in_force_ms=msgspec.structs.replace(times, missed=3))
-    points[3] = msgspec.structs.replace(points[3], load=msgspec.structs.replace(points[3].load, teams=30))
+    load = msgspec.structs.replace(points[3].load, teams=30)
+    points[3] = msgspec.structs.replace(points[3], dirty=True, load=load)
     text = page_of(tmp_path, points)
     found = section(text, "steady: workers")
     assert "point 1 | 50 | control CPU in doubt: 1 of 2 processes have no baseline |" in found
     assert "point 2 | 50 | control CPU in doubt: 2000 requests served, 1900 in the baseline |" in found
     assert "point 3 | 50 | 3 times a change of the list was not in force" in found
     assert "20 to 30 teams (**varied**)" in found
+    assert "- Commit: abc1234, abc1234 (with uncommitted changes) (**varied**)\n" in found
+    assert "- Machine: 8 cores, 16,000 MB, Python 3.11.2\n" in found
+    assert "| 100 | 3 | " in section(text, "steady: workers: control CPU, % of a core")
     ranking = section(text, "Against the budgets, worst first")
     assert "2 points with a doubtful baseline" in ranking
     assert ranking.count("3 times over the wait are not in the figure") == 3
