--- a/gaphub/lab/scale/measures.py
+++ b/gaphub/lab/scale/measures.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,21 +15,24 @@
 KB = 1000.0  # bytes
 PERCENT = 100.0
 MS_PER_S = 1000.0
-REQUESTS_APART = 0.02  # of the requests: beyond it, the baseline carried another load
+REQUESTS_APART = 0.02  # of the requests: beyond it, and beyond chance, the baseline carried another load
+REQUESTS_DEVIATIONS = 3.0  # of the difference of two counts of independent requests: chance stays within
+SETTINGS = "settings"  # the kind of change in force
 
 
 @dataclass(frozen=True)
 class Swept:
-    """A key of ``Load`` that a sweep varies."""
+    """What a sweep varies: a key of ``Load``, and for settings the pace of another kind of change."""
 
-    key: str
+    key: str  # the name of the sweep
     title: str
     of_load: Callable[[Load], float]
     of_target: Callable[[Target], float]
     slope_per: int = 1  # slopes are shown for so many, so that they read as ordinary numbers
+    only_kind: str = ""  # of changes in force; if set, the sweep varies nothing in the measured window
 
 
-SWEPT = {swept.key: swept for swept in (
+LOAD_KEYS = {swept.key: swept for swept in (
     Swept("workers", "workers", lambda load: load.workers, lambda target: target.workers, 1000),
     Swept("schedulers", "schedulers", lambda load: load.schedulers, lambda target: target.schedulers),
     Swept("starts_per_s", "starts/s", lambda load: load.starts_per_s, lambda target: target.starts_per_s, 1000),
@@ -39,6 +43,12 @@
     Swept("zones", "zones", lambda load: load.zones, lambda target: target.zones),
 )}
 
+# The target names no pace of changes of settings; that of all changes is taken.
+SETTINGS_SWEEP = Swept("settings_changes_per_s", "settings changes/s", lambda load: load.changes_per_s,
+                       lambda target: target.changes_per_s, only_kind=SETTINGS)
+
+SWEPT = {**LOAD_KEYS, SETTINGS_SWEEP.key: SETTINGS_SWEEP}
+
 
 @dataclass(frozen=True)
 class Measure:
@@ -110,12 +120,19 @@
     _in_force_measure("list", "p50", lambda times: times.p50),
     _in_force_measure("list", "p99", lambda times: times.p99, plotted=True),
     _in_force_measure("list", "worst", lambda times: times.worst),
-    _in_force_measure("settings", "p50", lambda times: times.p50),
-    _in_force_measure("settings", "p99", lambda times: times.p99, plotted=True),
-    _in_force_measure("settings", "worst", lambda times: times.worst),
+    _in_force_measure(SETTINGS, "p50", lambda times: times.p50),
+    _in_force_measure(SETTINGS, "p99", lambda times: times.p99, plotted=True),
+    _in_force_measure(SETTINGS, "worst", lambda times: times.worst),
 )
 
 
+def measures_of(swept: Swept) -> tuple[Measure, ...]:
+    """The measures that a sweep can move."""
+    if not swept.only_kind:
+        return MEASURES
+    return tuple(measure for measure in MEASURES if measure.in_force_kind == swept.only_kind)
+
+
 def unusable(point: Point) -> str:
     """Why no measure can be derived from a point; empty if one can."""
     if point.failed:
@@ -136,6 +153,7 @@
         return f"{len(point.schedulers) - len(pairs)} of {len(point.schedulers)} processes have no baseline"
     served = sum(each.requests for each, _ in pairs)
     silent = sum(baseline.requests for _, baseline in pairs)
-    if abs(served - silent) > REQUESTS_APART * max(served, silent):
+    chance = REQUESTS_DEVIATIONS * math.sqrt(served + silent)
+    if abs(served - silent) > max(REQUESTS_APART * max(served, silent), chance):
         return f"{served} requests served, {silent} in the baseline"
     return ""
--- a/gaphub/lab/scale/series.py
+++ b/gaphub/lab/scale/series.py
@@ -8,7 +8,7 @@
 
 from .budget import Comparison, Target
 from .fit import Estimate, FitError, Line, fit_line
-from .measures import CONTROL_CPU, MEASURES, SWEPT, Measure, Swept, baseline_fault, unusable
+from .measures import CONTROL_CPU, SWEPT, Measure, Swept, baseline_fault, measures_of, unusable
 from .points import Load, Point
 
 
@@ -66,7 +66,7 @@
         return re.sub(r"[^a-z0-9]+", "-", name.lower()).strip("-")
 
     def missed(self) -> int:
-        """For times until changes are in force: how many ended beyond the wait, so that no value counts them."""
+        """For times until changes are in force: how many were not seen to end, and count with the time waited."""
         times = [each.point.in_force_ms for each in self.sweep.points]
         return sum(each.missed for each in times if each is not None and each.kind == self.measure.in_force_kind)
 
@@ -111,8 +111,8 @@
         return max(self.x(each.point) for each in self.points)
 
     def series(self) -> list[Series]:
-        """Each measure that any point carries."""
-        found = [_series(self, measure) for measure in MEASURES]
+        """Each measure that the sweep can move and any point carries."""
+        found = [_series(self, measure) for measure in measures_of(self.swept)]
         return [each for each in found if each.observations]
 
     def remarks(self) -> list[Remark]:
@@ -120,13 +120,13 @@
         found = []
         for each in self.points:
             fault = baseline_fault(each.point)
-            if fault:
+            if fault and not self.swept.only_kind:
                 found.append(Remark(each.source, each.point.load, f"control CPU in doubt: {fault}"))
             times = each.point.in_force_ms
             if times is not None and times.missed:
                 found.append(Remark(each.source, each.point.load,
-                                    f"{times.missed} times a change of the {times.kind} was not in force in the "
-                                    f"time waited; {times.count} times are counted"))
+                                    f"{times.missed} of {times.count} times a change of the {times.kind} was not "
+                                    "in force in the time waited; they count with that time"))
         return found
 
 
--- a/gaphub/lab/scale/tables.py
+++ b/gaphub/lab/scale/tables.py
@@ -6,7 +6,7 @@
 
 from .budget import Comparison, Target, ranked
 from .fit import CONFIDENCE, Estimate, Line
-from .measures import CONTROL_CPU, REQUESTS_APART, SWEPT, Measure
+from .measures import CONTROL_CPU, LOAD_KEYS, REQUESTS_APART, SETTINGS_SWEEP, Measure
 from .points import Load
 from .series import Observation, Remark, Series, Sorted, Sourced, Sweep
 
@@ -68,7 +68,7 @@
         "1,000 bytes.\n\n"
         "Control CPU is the CPU time of a process less that of the same process in the baseline, over the window. "
         "The baseline carries the same requests, with peers silent and no changes of the list; points at which "
-        f"the requests of the two differ by over {REQUESTS_APART:.0%} are named.")
+        f"the requests of the two differ by over {REQUESTS_APART:.0%} and more than by chance are named.")
 
 
 def _sweep(sweep: Sweep, target: Target) -> str:
@@ -80,10 +80,14 @@
         f"{load_number(sweep.swept.of_target(target))}, is {_beyond(sweep, target)}",
         f"- Held: {_held(sweep)}",
         f"- Commit: {_one(_commit(each) for each in points)}",
-        f"- Seed: {_join(str(each.point.seed) for each in points)}",
+        f"- Seed: {_range(each.point.seed for each in points)}",
         f"- Machine: {_one(_machine(each) for each in points)}",
         f"- Points: {_join(each.file for each in points)}",
     ]
+    if sweep.swept.only_kind:
+        lines.append(f"- Only the times until {sweep.swept.only_kind} are in force: the measured window, which "
+                     "gives the other measures, has none of these changes. The target names no pace of them; that of "
+                     "all its changes is taken")
     remarks = sweep.remarks()
     if remarks:
         lines += ["", table(["point", sweep.swept.title, "remark"],
@@ -117,8 +121,8 @@
 def _held(sweep: Sweep) -> str:
     """The other loads; one that varied is marked, for the slope then holds its effect too."""
     texts = []
-    for swept in SWEPT.values():
-        if swept is sweep.swept:
+    for swept in LOAD_KEYS.values():
+        if swept is sweep.swept or (sweep.swept is SETTINGS_SWEEP and swept.key == "changes_per_s"):
             continue
         values = {swept.of_load(each.point.load) for each in sweep.points}
         varied = " (**varied**)" if len(values) > 1 else ""
@@ -222,7 +226,7 @@
 
 
 def _whole_load(load: Load) -> str:
-    return ", ".join(f"{load_number(swept.of_load(load))} {swept.title}" for swept in SWEPT.values())
+    return ", ".join(f"{load_number(swept.of_load(load))} {swept.title}" for swept in LOAD_KEYS.values())
 
 
 def _ranking(series: Sequence[Series], target: Target) -> str:
@@ -256,7 +260,7 @@
         found.append(f"target {_beyond(series.sweep, target)}")
     missed, without_baseline = series.missed(), series.without_baseline()
     if missed:
-        found.append(f"{missed} times over the wait are not in the figure")
+        found.append(f"{missed} times were longer than the wait and count with it")
     if without_baseline:
         found.append(f"{without_baseline} points with a doubtful baseline")
     return ", ".join(found) or NO_VALUE
--- a/tests/test_scale_report.py
+++ b/tests/test_scale_report.py
@@ -18,7 +18,7 @@
 
 from gaphub.lab.scale.budget import BUDGETS, Comparison, Target, Verdict, ranked
 from gaphub.lab.scale.fit import ConstantLoadError, Estimate, NotFiniteError, TooFewPointsError, fit_line
-from gaphub.lab.scale.measures import CONTROL_CPU, SWEPT
+from gaphub.lab.scale.measures import CONTROL_CPU, LOAD_KEYS, SETTINGS_SWEEP, SWEPT, baseline_fault
 from gaphub.lab.scale.points import InForce, Load, Machine, Measured, Point, PointsError, append_point, read_points
 from gaphub.lab.scale.report import TABLES, report
 from gaphub.lab.scale.report_command import report_command
@@ -217,9 +217,10 @@
 
 
 def test_the_target_has_every_swept_key() -> None:
-    assert list(SWEPT) == list(Load.__struct_fields__)
+    assert list(LOAD_KEYS) == list(Load.__struct_fields__)
+    assert list(SWEPT) == [*LOAD_KEYS, SETTINGS_SWEEP.key]
     target = Target(schedulers=90)
-    at = {key: swept.of_target(target) for key, swept in SWEPT.items()}
+    at = {key: swept.of_target(target) for key, swept in LOAD_KEYS.items()}
     assert at == {"workers": 11_000, "schedulers": 90, "starts_per_s": 2500.0, "tasks_running": 310_000,
                   "changes_per_s": pytest.approx(16_000 / 86_400), "teams": 730, "zones": 8}
 
@@ -356,7 +357,7 @@
 def test_doubtful_points_are_named(tmp_path: Path) -> None:
     points = sweep_points()
     points[0] = msgspec.structs.replace(points[0], baseline=points[0].baseline[:1])
-    points[1] = msgspec.structs.replace(points[1], baseline=[process("s0", 3.0), process("s1", 3.0, requests=900)])
+    points[1] = msgspec.structs.replace(points[1], baseline=[process("s0", 3.0), process("s1", 3.0, requests=600)])
     times = points[2].in_force_ms
     assert times is not None
     points[2] = msgspec.structs.replace(points[2], in_force_ms=msgspec.structs.replace(times, missed=3))
@@ -365,15 +366,40 @@
     text = page_of(tmp_path, points)
     found = section(text, "steady: workers")
     assert "point 1 | 50 | control CPU in doubt: 1 of 2 processes have no baseline |" in found
-    assert "point 2 | 50 | control CPU in doubt: 2000 requests served, 1900 in the baseline |" in found
-    assert "point 3 | 50 | 3 times a change of the list was not in force" in found
+    assert "point 2 | 50 | control CPU in doubt: 2000 requests served, 1600 in the baseline |" in found
+    assert "point 3 | 50 | 3 of 40 times a change of the list was not in force" in found
     assert "20 to 30 teams (**varied**)" in found
     assert "- Commit: abc1234, abc1234 (with uncommitted changes) (**varied**)\n" in found
     assert "- Machine: 8 cores, 16,000 MB, Python 3.11.2\n" in found
     assert "| 100 | 3 | " in section(text, "steady: workers: control CPU, % of a core")
     ranking = section(text, "Against the budgets, worst first")
     assert "2 points with a doubtful baseline" in ranking
-    assert ranking.count("3 times over the wait are not in the figure") == 3
+    assert ranking.count("3 times were longer than the wait and count with it") == 3
+
+
+def test_requests_that_differ_by_chance_are_not_in_doubt() -> None:
+    """Of 160 requests a tenth more is chance, of 16,000 it is not."""
+    [one] = sweep_points()[:1]
+    few, many = [msgspec.structs.replace(one, schedulers=[process("s0", 4.0, requests=count * 11 // 10)],
+                                         baseline=[process("s0", 3.0, requests=count)]) for count in (160, 16_000)]
+    assert baseline_fault(few) == ""
+    assert baseline_fault(many) == "17600 requests served, 16000 in the baseline"
+
+
+def test_a_sweep_of_settings_shows_only_when_settings_are_in_force(tmp_path: Path) -> None:
+    points = []
+    for seed, per_s in enumerate((0.5, 1.0, 2.0), 1):
+        times = InForce(count=30, p50=100.0, p99=200.0 + 100 * per_s, worst=900.0, missed=0, kind="settings")
+        points.append(msgspec.structs.replace(
+            point(200), sweep="settings_changes_per_s", seed=seed, in_force_ms=times,
+            load=msgspec.structs.replace(LOAD, changes_per_s=per_s), baseline=[]))
+    text = page_of(tmp_path, points)
+    assert re.findall(r"^### (.*)$", text, re.MULTILINE) == [
+        f"steady: settings changes/s: settings in force, {name}, s" for name in ("p50", "p99", "worst")]
+    summary = section(text, "steady: settings changes/s")
+    assert "- Held: 200 workers, 8 schedulers, 50 starts/s, 5,000 running tasks, 20 teams, 2 zones\n" in summary
+    assert "- Seed: 1 to 3\n" in summary and "baseline" not in summary
+    assert "| 0.1 (0.1 to 0.1) | 0.2 |" in section(text, "steady: settings changes/s: settings in force, p99, s")
 
 
 def test_too_few_points_give_no_line_but_stand_in_the_tables(tmp_path: Path) -> None:
