--- a/gaphub/lab/scale/tables.py
+++ b/gaphub/lab/scale/tables.py
@@ -86,8 +86,8 @@
     ]
     if sweep.swept.only_kind:
         lines.append(f"- Only the times until {sweep.swept.only_kind} are in force: the measured window, which "
-                     "gives the other measures, has none of these changes. The target names no pace of them; that of "
-                     "all its changes is taken")
+                     "gives the other measures, has none of these changes. The target names no pace of them; "
+                     "that of all its changes is taken")
     remarks = sweep.remarks()
     if remarks:
         lines += ["", table(["point", sweep.swept.title, "remark"],
