Scale run: the report is hooked in, and a baseline is divided by its own window

Need: run and report were written side by side. The report command was looked up under another name, and the baseline's window was taken to be as long as the loud one. A test of the longer baseline; the baseline tests pass.

--- a/gaphub/lab/scale/commands.py
+++ b/gaphub/lab/scale/commands.py
@@ -6,8 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from importlib import import_module
-from importlib.util import find_spec
 from pathlib import Path
 
 import click
@@ -29,11 +27,9 @@
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
         if name != "report":
             return super().get_command(context, name)
-        module = f"{__package__}.report"
-        if find_spec(module) is None:
-            return None
-        found: click.Command = import_module(module).report
-        return found
+        from .report_command import report_command
+
+        return report_command
 
 
 @click.command("scale", cls=_Scale)
@@ -89,11 +85,12 @@
     if not point.schedulers:
         return f"failed: {point.failed}"
     count, seconds = len(point.schedulers), point.seconds
-    spent = sum(m.cpu_s for m in point.schedulers) - sum(m.cpu_s for m in point.baseline)
+    spent = sum(m.cpu_s for m in point.schedulers)
+    silent = sum(m.cpu_s for m in point.baseline) * seconds / (point.baseline_seconds or seconds)
     memory = sum(m.rss_mb for m in point.schedulers)
     came = sum(m.peer_in_bytes + m.list_in_bytes for m in point.schedulers)
     went = sum(m.peer_out_bytes + m.list_out_bytes for m in point.schedulers)
-    parts = [f"{100.0 * spent / count / seconds:.1f} % of a core", f"{memory / count:.0f} MB",
+    parts = [f"{100.0 * (spent - silent) / count / seconds:.1f} % of a core", f"{memory / count:.0f} MB",
              f"{came / count / seconds / 1e3:.1f} KB/s in", f"{went / count / seconds / 1e3:.1f} KB/s out"]
     if (seen := point.in_force_ms) is not None:
         parts.append(f"{seen.kind} in force p99 {seen.p99:.0f} ms, worst {seen.worst:.0f}, missed {seen.missed} "
--- a/gaphub/lab/scale/measures.py
+++ b/gaphub/lab/scale/measures.py
@@ -70,7 +70,9 @@
 
 
 def _control_cpu(point: Point) -> tuple[float, ...]:
-    return tuple(PERCENT * (each.cpu_s - baseline.cpu_s) / point.seconds for each, baseline in _paired(point))
+    silent_seconds = point.baseline_seconds or point.seconds
+    return tuple(PERCENT * (each.cpu_s / point.seconds - baseline.cpu_s / silent_seconds)
+                 for each, baseline in _paired(point))
 
 
 def _each(value: Callable[[Measured], float]) -> Callable[[Point], tuple[float, ...]]:
--- a/gaphub/lab/scale/points.py
+++ b/gaphub/lab/scale/points.py
@@ -82,6 +82,7 @@
     schedulers: list[Measured]
     baseline: list[Measured]  # the same processes with peers silent and no changes of the list, to subtract
     in_force_ms: InForce | None = None
+    baseline_seconds: float = 0.0  # of the baseline's window; 0: as ``seconds``
     failed: str = ""  # why the point could not be measured, or does not show the load that was planned
 
 
--- a/gaphub/lab/scale/runner.py
+++ b/gaphub/lab/scale/runner.py
@@ -138,7 +138,8 @@
     except (ProcessError, OSError, TimeoutError) as error:
         return replace(empty, failed=repr(error))
     return replace(empty, seconds=found.seconds, schedulers=found.schedulers, baseline=baseline.schedulers,
-                   in_force_ms=in_force, failed=unsound(found, planned.load.schedulers))
+                   baseline_seconds=baseline.seconds, in_force_ms=in_force,
+                   failed=unsound(found, planned.load.schedulers))
 
 
 async def _in_force(stage: Stage, planned: Planned, scenario: Scenario) -> InForce | None:
--- a/tests/test_scale_report.py
+++ b/tests/test_scale_report.py
@@ -296,6 +296,8 @@
     uneven = msgspec.structs.replace(one, schedulers=[process("s0", 5.0), process("s1", 9.0)],
                                      baseline=[process("s1", 8.0), process("s0", 3.0)])
     assert CONTROL_CPU.values(uneven) == pytest.approx((10.0, 5.0))
+    longer = msgspec.structs.replace(uneven, baseline_seconds=2 * uneven.seconds)  # spent in twice the time
+    assert CONTROL_CPU.values(longer) == pytest.approx((17.5, 25.0))
 
 
 def test_the_page_shows_points_line_and_target(tmp_path: Path) -> None:
