Occupancy: sharded sums under a byte budget, as pure deciders

Each worker has one aggregator by rendezvous hashing; reports and sums share one datagram a pair and round. Not wired into the daemon.

--- /dev/null
+++ b/gaphub/occupancy/identity.py
@@ -0,0 +1,103 @@
+"""Owns the ids by which messages name workers.
+
+Pure.  A worker's number in this process depends on the order in which lists named it, where two names share a
+checksum; its id here depends on the names alone.  Names that share the first 32 bits get 32 others; should ids
+still meet, the id names both workers, and who reads it credits the sum to each.
+"""
+
+from __future__ import annotations
+
+import zlib
+from hashlib import blake2b
+from typing import NamedTuple
+
+
+class Renamed(NamedTuple):
+    """A worker whose id has changed, as a name that shares the first one came or went."""
+
+    number: int
+    before: int
+    after: int
+
+
+def first_id(name: str) -> int:
+    """The id of a worker whose name shares it with no other."""
+    return zlib.crc32(name.encode())
+
+
+def second_id(name: str) -> int:
+    """The id of a worker whose first id is shared."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
+class Identities:
+    """Ids of the workers that are known, by their numbers in this process."""
+
+    __slots__ = ("_names", "_ids", "_sharing", "_numbers")
+
+    def __init__(self) -> None:
+        self._names: dict[int, str] = {}  # by number
+        self._ids: dict[int, int] = {}  # by number
+        self._sharing: dict[int, set[int]] = {}  # numbers by first id
+        self._numbers: dict[int, tuple[int, ...]] = {}  # by id
+
+    def __contains__(self, number: int) -> bool:
+        return number in self._ids
+
+    def __len__(self) -> int:
+        return len(self._ids)
+
+    def id_of(self, number: int) -> int:
+        """The id of a known worker."""
+        return self._ids[number]
+
+    def numbers_of(self, wire_id: int) -> tuple[int, ...]:
+        """The workers that an id names: none, one, or several that cannot be told apart."""
+        return self._numbers.get(wire_id, ())
+
+    def add(self, number: int, name: str) -> list[Renamed]:
+        """Know a worker; whose ids have changed by it."""
+        if self._names.get(number) == name:
+            return []
+        changed = self.remove(number) if number in self._names else []
+        self._names[number] = name
+        self._sharing.setdefault(first_id(name), set()).add(number)
+        return changed + self._renamed(first_id(name))
+
+    def remove(self, number: int) -> list[Renamed]:
+        """Forget a worker; whose ids have changed by it."""
+        name = self._names.pop(number, None)
+        if name is None:
+            return []
+        self._unset(number)
+        sharing = self._sharing[first_id(name)]
+        sharing.discard(number)
+        if not sharing:
+            del self._sharing[first_id(name)]
+        return self._renamed(first_id(name))
+
+    def _renamed(self, first: int) -> list[Renamed]:
+        """Give those that share a first id the ids that are due."""
+        sharing = self._sharing.get(first, set())
+        alone = len({self._names[n] for n in sharing}) <= 1
+        changed = []
+        for number in sorted(sharing):
+            due = first if alone else second_id(self._names[number])
+            before = self._ids.get(number)
+            if before == due:
+                continue
+            if before is not None:
+                self._unset(number)
+                changed.append(Renamed(number, before, due))
+            self._ids[number] = due
+            self._numbers[due] = tuple(sorted((*self._numbers.get(due, ()), number)))
+        return changed
+
+    def _unset(self, number: int) -> None:
+        """Take an id from a worker."""
+        wire_id = self._ids.pop(number)
+        left = tuple(n for n in self._numbers[wire_id] if n != number)
+        if left:
+            self._numbers[wire_id] = left
+        else:
+            del self._numbers[wire_id]
--- /dev/null
+++ b/gaphub/occupancy/sharded.py
@@ -0,0 +1,431 @@
+"""Owns the sharded exchange: each worker's counts go to one aggregator, which tells the sums to all.
+
+Pure: no I/O, no clock, no randomness.  It sends nothing in answer to a datagram and never more than its budget; it
+never names a worker that was not listed, and never raises on what comes in.
+
+Every scheduler sends every other one datagram a round, spread over the round: its report to that peer, and sums of
+workers that it aggregates.  See docs/design/occupancy-at-size.md for what is promised.
+"""
+
+from __future__ import annotations
+
+import random as random_module
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from math import ceil, inf
+from typing import NamedTuple
+
+from .aggregator import NEVER, Aggregator
+from .assignment import Assignment
+from .budget import Limits, Plan, SumOrder, TokenBucket, plan
+from .identity import Identities, Renamed
+from .reports import PeerReports
+from .sums import Sum, Sums
+from .sums_messages import (
+    COUNT_MAX,
+    ENTRY_BYTES_MAX,
+    HEAD_BYTES,
+    MESSAGE_BYTES_MAX,
+    REPORT_ENTRIES_MAX,
+    DeadSet,
+    Message,
+    MessageError,
+    dead_bytes,
+    decode,
+    encode,
+    entry_bytes,
+)
+
+WAKE_MS = 100.0  # at the shortest between two wake-ups
+REVIEWS = 4  # in a round: who is silent, how old the sums are
+ENOUGH = 3  # members that must be heard for sums to be used, where there are so many, and
+ENOUGH_PART = 8  # one more for each so many: in a large fleet some are always down
+FRESH_PART = 0.9  # of the listed workers must have a sum within the age bound
+
+
+class Outgoing(NamedTuple):
+    """A datagram to send."""
+
+    peer: int
+    data: bytes
+
+
+class Drop(Enum):
+    """Why something that came in was not used."""
+
+    STRANGER = "from nobody who is a member"
+    UNREADABLE = "of another format, or garbled"
+    LATE = "doubled, overtaken, or of an earlier life"
+    UNLISTED = "a sum of a worker that is not listed"
+    GAP = "a report that builds on one that was lost"
+    UNPROVEN = "sums of unknown age"
+    DISAGREES = "sums by a view in which somebody is dead who is heard here"
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What is known of another member."""
+
+    heard_at: float
+    reports: PeerReports = field(default_factory=PeerReports)
+    epoch: int | None = None  # of its present life; None: it was never heard
+    number: int = 0  # of its last datagram
+
+
+class ShardedExchange:
+    """One scheduler's part in the exchange."""
+
+    def __init__(self, now: float, me: int, members: Iterable[int], epoch: int,
+                 limits: Limits | None = None) -> None:
+        """``epoch``: of this process life, higher than of the one before; 1 to 2**32 - 1."""
+        self.me = me
+        self.epoch = epoch
+        self.limits = limits or Limits()
+        self.dropped: Counter[Drop] = Counter()
+        self.sent_bytes = self.sent_datagrams = 0
+        self._assignment = Assignment({me, *members})
+        others = [m for m in self._assignment.members if m != me]
+        self._peers = {m: _Peer(now) for m in others}
+        self._order = [*others[me % max(1, len(others)):], *others[:me % max(1, len(others))]]
+        self._identities = Identities()
+        self._aggregator = Aggregator(me, others)
+        self._sums = Sums()
+        self._sum_order = SumOrder()
+        self._slots: dict[int, float] = {}  # own slots out, by the worker's number
+        self._counts: dict[int, int] = {}  # the same, rounded up, by id
+        self._leaving: set[int] = set()  # numbers that are not listed, with slots out
+        self._dead = DeadSet.of(frozenset())
+        self._bucket = TokenBucket(now, self.limits.bytes_per_s)
+        self._body: list[int] = []  # the sums of this round
+        self._next = 0  # place in the order of peers
+        self._round_at = self._reviewed_at = now
+        self._reported = 0  # counts told in reports in this round
+        self._fresh_at = NEVER
+        self._fresh = False
+        self.plan = self._plan(0.0, 0.0)
+        self.next_wake = now + WAKE_MS
+
+    # Workers
+
+    def listed(self, now: float, worker_id: int, name: str) -> None:
+        """A list names a worker; ``name`` tells it apart in all processes, its number only in this one."""
+        self._leaving.discard(worker_id)
+        before = self._identities.id_of(worker_id) if worker_id in self._identities else None
+        renamed = self._identities.add(worker_id, name)
+        wire_id = self._identities.id_of(worker_id)
+        if before not in (None, wire_id):
+            renamed = [Renamed(worker_id, before, wire_id), *renamed]
+        self._rename(renamed)
+        self._follow(wire_id)
+        self._recount(wire_id)
+
+    def unlisted(self, now: float, worker_id: int) -> None:
+        """A worker is listed no more; what is out at it is still reported."""
+        if worker_id not in self._identities:
+            return
+        if self._slots.get(worker_id):
+            self._leaving.add(worker_id)
+        else:
+            self._forget(worker_id)
+
+    def changed(self, now: float, worker_id: int, slots_out: float, more: bool) -> list[Outgoing]:
+        """The own slots out at a worker have changed; nothing is told before the next round."""
+        if worker_id not in self._identities:
+            return []
+        if slots_out > 0.0:
+            self._slots[worker_id] = slots_out
+        else:
+            self._slots.pop(worker_id, None)
+        self._recount(self._identities.id_of(worker_id))
+        if slots_out <= 0.0 and worker_id in self._leaving:
+            self._leaving.discard(worker_id)
+            self._forget(worker_id)
+        return []
+
+    def _forget(self, worker_id: int) -> None:
+        wire_id = self._identities.id_of(worker_id)
+        renamed = self._identities.remove(worker_id)
+        self._recount(wire_id)
+        if not self._identities.numbers_of(wire_id):
+            self._drop(wire_id)
+        self._rename(renamed)
+
+    def _rename(self, renamed: list[Renamed]) -> None:
+        for _, before, after in renamed:
+            self._recount(before)
+            if not self._identities.numbers_of(before):
+                self._drop(before)
+            self._follow(after)
+            self._recount(after)
+
+    def _follow(self, wire_id: int) -> None:
+        self._assignment.add(wire_id)
+        self._aggregator.list_worker(wire_id)
+
+    def _drop(self, wire_id: int) -> None:
+        self._assignment.remove(wire_id)
+        self._aggregator.unlist_worker(wire_id)
+        self._sums.forget(wire_id)
+
+    def _recount(self, wire_id: int) -> None:
+        """Find the own count of an id anew, and note whom it must be told."""
+        slots = sum(self._slots.get(n, 0.0) for n in self._identities.numbers_of(wire_id))
+        count = min(COUNT_MAX, ceil(slots))
+        if count == self._counts.get(wire_id, 0):
+            return
+        if count:
+            self._counts[wire_id] = count
+        else:
+            self._counts.pop(wire_id, None)
+        self._aggregator.set_own(wire_id, count)
+        for member in self._targets(wire_id):
+            self._peers[member].reports.mark(wire_id)
+
+    def _targets(self, wire_id: int) -> list[int]:
+        """Who must be told of a worker: its owner, and the suspects that would own it."""
+        owner = self._assignment.owner.get(wire_id)
+        if owner is None:
+            return []
+        return [m for m in (owner, *self._assignment.above(wire_id)) if m != self.me]
+
+    # What is known
+
+    def out(self, worker_id: int) -> int:
+        """The slots that the others have out at a worker; 0 where nothing is known."""
+        if worker_id not in self._identities:
+            return 0
+        return self._best(self._identities.id_of(worker_id)).others
+
+    def age(self, now: float, worker_id: int) -> float:
+        """How old ``out`` is, in ms: it holds all that was out then and still is; inf: nothing is known."""
+        if worker_id not in self._identities:
+            return inf
+        as_of = self._best(self._identities.id_of(worker_id), now).as_of
+        return now - as_of if as_of > NEVER else inf
+
+    def fresh(self, now: float, worker_id: int) -> bool:
+        """Whether ``out`` is within the age bound."""
+        return self.age(now, worker_id) <= self.plan.age_bound_ms
+
+    def complete(self, now: float) -> bool:
+        """Whether enough members are heard and most sums are within the age bound; found once a round."""
+        if now - self._fresh_at >= self.plan.round_ms:
+            self._fresh_at, self._fresh = now, self._enough(now)
+        return self._fresh
+
+    def speaks(self) -> frozenset[int]:
+        """The other members that are heard in this format."""
+        dead = self._assignment.dead
+        return frozenset(m for m, peer in self._peers.items() if peer.epoch is not None and m not in dead)
+
+    def refused_reports(self) -> int:
+        """Entries of reports that were dropped, as their workers were not listed."""
+        return self._aggregator.refused
+
+    def _enough(self, now: float) -> bool:
+        others = len(self._peers)
+        if len(self.speaks()) < min(others, ENOUGH + others // ENOUGH_PART):
+            return False
+        workers = list(self._assignment.owner)
+        since = now - self.plan.age_bound_ms
+        return sum(self._best(w, now).as_of >= since for w in workers) >= FRESH_PART * len(workers)
+
+    def _best(self, wire_id: int, now: float = inf) -> Sum:
+        """The newest sum: what was told, or what is aggregated here."""
+        told = self._sums.get(wire_id)
+        if self._assignment.owner.get(wire_id) != self.me:
+            return told
+        as_of = self._as_of(now if now < inf else self._reviewed_at, wire_id)
+        return told if told.as_of > as_of else Sum(self._aggregator.others(wire_id, self.me), as_of)
+
+    def _as_of(self, now: float, wire_id: int) -> float:
+        return self._aggregator.as_of(now, wire_id, self._assignment.above(wire_id), self._dead)
+
+    # Sending
+
+    def wake(self, now: float) -> list[Outgoing]:
+        """Send what is due; to be called at ``next_wake``."""
+        outgoing: list[Outgoing] = []
+        self._review(now)
+        while self._next < self._due(now) and self._bucket.allows(now):
+            outgoing += self._tell(now, self._order[self._next])
+            self._next += 1
+        if self._next >= len(self._order) and now - self._round_at >= self.plan.round_ms:
+            self._begin_round(now)
+        self.next_wake = now + max(WAKE_MS, self.plan.round_ms / max(1, len(self._order)))
+        return outgoing
+
+    def _due(self, now: float) -> int:
+        """How many peers are to have been told by now in this round."""
+        part = (now - self._round_at) / self.plan.round_ms
+        return min(len(self._order), ceil(part * len(self._order)))
+
+    def _begin_round(self, now: float) -> None:
+        took_ms = now - self._round_at
+        self.plan = self._plan(took_ms, self._reported / max(1, len(self._order)))
+        self._round_at = now
+        self._next = self._reported = 0
+        self._aggregator.refresh()
+        since = now - self.plan.age_bound_ms
+        shard = [w for w in self._assignment.shards[self.me] if self._as_of(now, w) >= since]
+        self._body = self._sum_order.choose(self.plan.sums, shard, self._aggregator.total)
+        # Sums of like age go together: a datagram states the age of its oldest.
+        self._body.sort(key=lambda w: self._as_of(now, w))
+
+    def _plan(self, last_round_ms: float, report_entries: float) -> Plan:
+        shards = self._assignment.shards
+        largest = max(len(shard) for shard in shards.values())
+        return plan(self.limits, len(self._order), len(shards[self.me]), largest, report_entries, last_round_ms)
+
+    def _tell(self, now: float, member: int) -> list[Outgoing]:
+        """The datagrams of a round to a peer."""
+        reports = self._peers[member].reports
+        reports.begin_round()
+        sums = [] if member in self._assignment.dead else list(self._body)
+        left = self.plan.reports
+        outgoing = []
+        while True:
+            data, reported = self._datagram(now, member, left, sums)
+            outgoing.append(Outgoing(member, data))
+            left -= reported
+            self._reported += reported
+            self._bucket.spend(len(data))
+            self.sent_bytes += len(data)
+            self.sent_datagrams += 1
+            if not sums and (left <= 0 or not reports.unsent(1)):
+                return outgoing
+
+    def _datagram(self, now: float, member: int, most: int, sums: list[int]) -> tuple[bytes, int]:
+        """The next datagram to a peer, and how many counts it reports; takes what it holds from ``sums``."""
+        peer = self._peers[member]
+        room = MESSAGE_BYTES_MAX - HEAD_BYTES - dead_bytes(self._dead)
+        report: dict[int, int] = {}
+        for wire_id in peer.reports.unsent(min(most, REPORT_ENTRIES_MAX, room // ENTRY_BYTES_MAX)):
+            report[wire_id] = self._counts.get(wire_id, 0)
+            room -= entry_bytes(report[wire_id])
+        told: dict[int, int] = {}
+        oldest = now
+        while sums and room >= ENTRY_BYTES_MAX:
+            wire_id = sums.pop(0)
+            as_of = self._as_of(now, wire_id)
+            if self._assignment.owner.get(wire_id) == self.me and as_of > NEVER:
+                told[wire_id] = min(COUNT_MAX, self._aggregator.others(wire_id, member))
+                oldest = min(oldest, as_of)
+                room -= entry_bytes(told[wire_id])
+        base = peer.reports.base
+        peer.reports.sent(now, report)
+        message = Message(self.epoch, peer.reports.number, base, bool(peer.reports.unsent(1)), peer.epoch or 0,
+                          self._aggregator.applied(member), now - oldest, self._dead, report, told)
+        return encode(message), len(report)
+
+    # Receiving
+
+    def on_message(self, now: float, sender: int, data: bytes,
+                   random: random_module.Random | None = None) -> list[Outgoing]:
+        """Take a datagram; nothing is ever sent in answer."""
+        peer = self._peers.get(sender)
+        if peer is None:
+            self.dropped[Drop.STRANGER] += 1
+            return []
+        try:
+            message = decode(data)
+        except MessageError:
+            self.dropped[Drop.UNREADABLE] += 1
+            return []
+        if not self._in_order(now, sender, peer, message):
+            self.dropped[Drop.LATE] += 1
+            return []
+        peer.heard_at = now
+        if sender in self._assignment.dead:
+            self._returned(now, sender)
+        built_after = self._echoed(sender, peer, message)
+        self._take_report(sender, message, built_after)
+        if message.sums:
+            self._take_sums(message, built_after)
+        return []
+
+    def _in_order(self, now: float, sender: int, peer: _Peer, message: Message) -> bool:
+        """Whether a datagram is later than those that were taken; notes a new life of its sender."""
+        if message.epoch != peer.epoch:
+            silent = now - peer.heard_at > self.plan.silent_ms
+            if peer.epoch is not None and message.epoch < peer.epoch and not silent:
+                return False
+            peer.epoch = message.epoch
+            peer.number = 0
+            self._aggregator.reborn(sender)
+        if message.number <= peer.number:
+            return False
+        peer.number = message.number
+        return True
+
+    def _echoed(self, sender: int, peer: _Peer, message: Message) -> float | None:
+        """After when a datagram was built; None if it does not prove that."""
+        known = message.echo if message.echo_epoch == self.epoch else 0
+        if not peer.reports.acknowledge(known):
+            peer.reports.restart([w for w in self._counts if sender in self._targets(w)])
+        return peer.reports.echoed(known) if known else None
+
+    def _take_report(self, sender: int, message: Message, built_after: float | None) -> None:
+        if not self._aggregator.apply(sender, message):
+            self.dropped[Drop.GAP] += 1
+        elif not message.more and built_after is not None:
+            self._aggregator.cover(sender, built_after, message.dead, self._dead)
+
+    def _take_sums(self, message: Message, built_after: float | None) -> None:
+        if built_after is None:
+            self.dropped[Drop.UNPROVEN] += 1
+            return
+        if not message.dead.within(self._assignment.dead, self._dead):
+            self.dropped[Drop.DISAGREES] += 1
+            return
+        as_of = built_after - message.age_ms
+        for wire_id, others in message.sums.items():
+            if wire_id in self._assignment.owner:
+                self._sums.take(wire_id, others, as_of)
+            else:
+                self.dropped[Drop.UNLISTED] += 1
+
+    # Who lives
+
+    def _review(self, now: float) -> None:
+        """Find who is silent, and the sums' age anew, a few times a round."""
+        if now - self._reviewed_at < self.plan.round_ms / REVIEWS:
+            return
+        stopped = now - self._reviewed_at > self.plan.silent_ms / 2
+        self._reviewed_at = now
+        self._aggregator.refresh()
+        if stopped:  # whoever did not listen cannot say who was silent
+            for peer in self._peers.values():
+                peer.heard_at = max(peer.heard_at, now - self.plan.silent_ms / 2)
+        for member, peer in self._peers.items():
+            silent_ms = now - peer.heard_at
+            if silent_ms > self.plan.silent_ms and member not in self._assignment.dead:
+                self._silent(member)
+            if silent_ms > max(self.limits.hold_ms, self.plan.silent_ms):
+                self._aggregator.void(member)
+
+    def _silent(self, member: int) -> None:
+        """A member is dead: tell those who take its workers over what is out there."""
+        for worker, _, after in self._assignment.down(member):
+            if after != self.me and (worker in self._counts or worker in self._peers[after].reports.told):
+                self._peers[after].reports.mark(worker)
+        self._views()
+
+    def _returned(self, now: float, member: int) -> None:
+        """A member lives again: what is its own returns to it, and what is known of that is kept."""
+        for worker in list(self._assignment.shards[self.me]):
+            if member in self._assignment.above(worker):
+                held = self._best(worker, now)
+                self._sums.take(worker, held.others, held.as_of)
+        self._assignment.up(member)
+        self._views()
+
+    def _views(self) -> None:
+        dead = self._assignment.dead
+        self._dead = DeadSet.of(dead)
+        self._aggregator.live(self._peers.keys() - dead)
+
+
+__all__ = ["Drop", "Limits", "Outgoing", "ShardedExchange"]
--- /dev/null
+++ b/gaphub/occupancy/sums_messages.py
@@ -0,0 +1,171 @@
+"""Owns the messages of the sharded exchange: a datagram holds a report to the receiver, and sums from the sender.
+
+Pure.  The first byte is the format's version: 0xE1, told apart from the counts of all to all (0xD0 to 0xDF),
+from beats (0xC2) and from the store's messages (``gh1``).  What cannot be read raises ``MessageError``, nothing
+else.
+
+Head (big endian): version 1 byte; flags 1; sender's epoch 4; number 4; base 4; epoch echoed 4; number echoed 4;
+age of the sums 2; how many dead 1; how many counts are reported 1.  Then the dead (2 bytes each, or a digest of
+4), the reported counts, and the sums to the end.  An entry is a worker's id (4 bytes) and a count: one byte up
+to 127, else two.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Iterable, Set
+from dataclasses import dataclass
+from enum import Enum
+from math import ceil
+
+VERSION = 0xE1
+MESSAGE_BYTES_MAX = 256
+COUNT_MAX = 0x7FFF  # a larger count is told as this
+AGE_UNIT_MS = 100.0
+AGE_MAX_MS = 0xFFFF * AGE_UNIT_MS  # an older one is told as this, and is past every bound
+DEAD_NAMED_MAX = 8  # more are told as a digest
+REPORT_ENTRIES_MAX = 255
+
+_HEAD = struct.Struct(">BBIIIIIHBB")
+HEAD_BYTES = _HEAD.size
+_MORE = 1
+_DIGEST = 2
+_FLAGS = _MORE | _DIGEST
+ENTRY_BYTES = 5  # of a count up to 127
+ENTRY_BYTES_MAX = 6
+
+
+class Fault(Enum):
+    """Why a datagram is dropped."""
+
+    FOREIGN = "of another format or version"
+    SIZE = "too short or too long"
+    MALFORMED = "does not hold what its head says"
+
+
+class MessageError(Exception):
+    """A datagram that cannot be read."""
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(fault.value)
+        self.fault = fault
+
+
+@dataclass(frozen=True, slots=True)
+class DeadSet:
+    """The members that a sender takes to be dead: their names, or a digest where there are many."""
+
+    named: frozenset[int] | None
+    digest: int
+
+    @staticmethod
+    def of(dead: Set[int]) -> DeadSet:
+        """As a message can tell it."""
+        digest = zlib.crc32(b"".join(m.to_bytes(2, "big") for m in sorted(dead)))
+        return DeadSet(frozenset(dead) if len(dead) <= DEAD_NAMED_MAX else None, digest)
+
+    def includes(self, some: frozenset[int], all_dead: DeadSet) -> bool:
+        """Whether some of another's dead are dead here too; ``all_dead`` is all of the other's."""
+        if not some or self.digest == all_dead.digest:
+            return True
+        return self.named is not None and some <= self.named
+
+    def within(self, dead: Set[int], all_dead: DeadSet) -> bool:
+        """Whether nobody is dead here who is not in ``dead``, which ``all_dead`` tells too."""
+        if self.digest == all_dead.digest:
+            return True
+        return self.named is not None and self.named <= dead
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One datagram."""
+
+    epoch: int  # the sender's process life; a later one is higher
+    number: int  # counts the sender's datagrams to this receiver from 1
+    base: int  # the report holds what has changed since this number; 0: all that is not 0
+    more: bool  # whether the report goes on in the next datagram
+    echo_epoch: int  # of the receiver, as the sender knows it
+    echo: int  # the last number taken from the receiver in that epoch; 0: none
+    age_ms: float  # of the oldest report that the sums hold; on the wire rounded up
+    dead: DeadSet
+    report: dict[int, int]  # the sender's own counts
+    sums: dict[int, int]  # all others' counts, without the receiver's
+
+
+def entry_bytes(count: int) -> int:
+    """The bytes of an entry with this count."""
+    return ENTRY_BYTES if count < 0x80 else ENTRY_BYTES_MAX
+
+
+def dead_bytes(dead: DeadSet) -> int:
+    """The bytes that the dead take in a message."""
+    return 4 if dead.named is None else 2 * len(dead.named)
+
+
+def _entries(entries: Iterable[tuple[int, int]]) -> bytes:
+    parts = []
+    for wire_id, count in entries:
+        told = min(count, COUNT_MAX)
+        size = (1, told) if told < 0x80 else (2, 0x8000 | told)
+        parts.append(wire_id.to_bytes(4, "big") + size[1].to_bytes(size[0], "big"))
+    return b"".join(parts)
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of a message; the caller sees to it that they are at most ``MESSAGE_BYTES_MAX``."""
+    dead = message.dead
+    if dead.named is None:
+        told, names = 0, dead.digest.to_bytes(4, "big")
+    else:
+        told, names = len(dead.named), b"".join(m.to_bytes(2, "big") for m in sorted(dead.named))
+    flags = (_MORE if message.more else 0) | (_DIGEST if dead.named is None else 0)
+    age = ceil(min(message.age_ms, AGE_MAX_MS) / AGE_UNIT_MS)
+    head = _HEAD.pack(VERSION, flags, message.epoch, message.number, message.base, message.echo_epoch,
+                      message.echo, age, told, len(message.report))
+    return head + names + _entries(message.report.items()) + _entries(message.sums.items())
+
+
+def decode(data: bytes) -> Message:
+    """The message that a datagram holds."""
+    if not data or data[0] != VERSION:
+        raise MessageError(Fault.FOREIGN)
+    if not HEAD_BYTES <= len(data) <= MESSAGE_BYTES_MAX:
+        raise MessageError(Fault.SIZE)
+    _, flags, epoch, number, base, echo_epoch, echo, age, told, reported = _HEAD.unpack_from(data)
+    if flags & ~_FLAGS or number == 0 or base >= number or (flags & _DIGEST and told):
+        raise MessageError(Fault.MALFORMED)
+    at = HEAD_BYTES + (4 if flags & _DIGEST else 2 * told)
+    if at > len(data):
+        raise MessageError(Fault.MALFORMED)
+    names = data[HEAD_BYTES:at]
+    if flags & _DIGEST:
+        dead = DeadSet(None, int.from_bytes(names, "big"))
+    else:
+        dead = DeadSet.of({int.from_bytes(names[i:i + 2], "big") for i in range(0, len(names), 2)})
+    try:
+        at, report = _read(data, at, reported)
+        _, sums = _read(data, at, MESSAGE_BYTES_MAX)
+    except IndexError:
+        raise MessageError(Fault.MALFORMED) from None
+    if len(report) != reported:
+        raise MessageError(Fault.MALFORMED)
+    return Message(epoch, number, base, bool(flags & _MORE), echo_epoch, echo, age * AGE_UNIT_MS, dead, report,
+                   sums)
+
+
+def _read(data: bytes, at: int, most: int) -> tuple[int, dict[int, int]]:
+    """Up to so many entries, and where they end; IndexError if the last one is cut short."""
+    entries: dict[int, int] = {}
+    end = len(data)
+    while at < end and most > 0:
+        count = data[at + 4]
+        wire_id = data[at] << 24 | data[at + 1] << 16 | data[at + 2] << 8 | data[at + 3]
+        at += 5
+        if count & 0x80:
+            count = (count & 0x7F) << 8 | data[at]
+            at += 1
+        entries[wire_id] = count
+        most -= 1
+    return at, entries
