--- a/gaphub/occupancy/aggregator.py
+++ b/gaphub/occupancy/aggregator.py
@@ -98,9 +98,9 @@
         self.live(self._live)
 
     def apply(self, member: int, message: Message) -> bool:
-        """Apply a report, if it builds on what was applied; whether it did."""
+        """Apply a report, if it is new and builds on what was applied; whether it did."""
         said = self._reported[member]
-        if message.base > said.applied:
+        if not message.base <= said.applied < message.number:
             return False
         if message.base == 0 and said.applied == 0:  # else it goes on: what was taken was not yet acknowledged
             said.replacing = set(said.counts)
--- a/gaphub/occupancy/budget.py
+++ b/gaphub/occupancy/budget.py
@@ -84,7 +84,8 @@
     oldest_first = max(1, sums - int(sums * LARGE_PART))
     turn_ms = round_ms * max(1, -(-largest_shard // oldest_first))
     silent_ms = max(SILENT_MIN_MS, SILENT_ROUNDS * round_ms)
-    bound_ms = max(5 * round_ms + 2 * turn_ms, silent_ms + 3 * round_ms + turn_ms)
+    # A sum is lost once; or its aggregator is, which others see within a round of each other, then report anew.
+    bound_ms = max(5 * round_ms + 2 * turn_ms, silent_ms + 8 * round_ms + turn_ms)
     return Plan(pace_ms, sums, reports, turn_ms, silent_ms, bound_ms)
 
 
--- a/gaphub/occupancy/sharded.py
+++ b/gaphub/occupancy/sharded.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import chain
 from math import ceil, inf
 from typing import NamedTuple
 
@@ -25,17 +26,14 @@
 from .sums import Sum, Sums
 from .sums_messages import (
     COUNT_MAX,
-    ENTRY_BYTES_MAX,
-    HEAD_BYTES,
-    MESSAGE_BYTES_MAX,
     REPORT_ENTRIES_MAX,
     DeadSet,
     Message,
     MessageError,
-    dead_bytes,
     decode,
     encode,
-    entry_bytes,
+    is_wide,
+    room,
 )
 
 WAKE_MS = 100.0  # at the shortest between two wake-ups
@@ -57,7 +55,7 @@
 
     STRANGER = "from nobody who is a member"
     UNREADABLE = "of another format, or garbled"
-    LATE = "doubled, overtaken, or of an earlier life"
+    LATE = "doubled, overtaken, or of an earlier life; what still holds of it is used"
     UNLISTED = "a sum of a worker that is not listed"
     GAP = "a report that builds on one that was lost"
     UNPROVEN = "sums of unknown age"
@@ -98,7 +96,7 @@
         self._leaving: set[int] = set()  # numbers that are not listed, with slots out
         self._dead = DeadSet.of(frozenset())
         self._bucket = TokenBucket(now, self.limits.bytes_per_s)
-        self._body: list[int] = []  # the sums of this round
+        self._body: list[tuple[int, float]] = []  # the workers whose sums are told in this round, and of when
         self._next = 0  # place in the order of peers
         self._round_at = self._reviewed_at = now
         self._reported = 0  # counts told in reports in this round
@@ -272,9 +270,12 @@
         self._aggregator.refresh()
         since = now - self.plan.age_bound_ms
         shard = [w for w in self._assignment.shards[self.me] if self._as_of(now, w) >= since]
-        self._body = self._sum_order.choose(self.plan.sums, shard, self._aggregator.total)
-        # Sums of like age go together: a datagram states the age of its oldest.
-        self._body.sort(key=lambda w: self._as_of(now, w))
+        self._date(now, self._sum_order.choose(self.plan.sums, shard, self._aggregator.total))
+
+    def _date(self, now: float, wire_ids: Iterable[int]) -> None:
+        """Note of when the sums of this round are; those of like age go together, as datagrams tell the oldest."""
+        dated = [(self._as_of(now, w), w) for w in wire_ids]
+        self._body = [(w, as_of) for as_of, w in sorted(dated) if as_of > NEVER]
 
     def _plan(self, last_round_ms: float, report_entries: float) -> Plan:
         shards = self._assignment.shards
@@ -298,32 +299,35 @@
             if not sums and (left <= 0 or not more):
                 return outgoing
 
-    def _datagram(self, now: float, member: int, most: int, sums: list[int]) -> tuple[bytes, int, bool]:
+    def _datagram(self, now: float, member: int, most: int,
+                  sums: list[tuple[int, float]]) -> tuple[bytes, int, bool]:
         """The next datagram to a peer, how many counts it reports, and whether there are more; takes its sums."""
         peer = self._peers[member]
-        room = MESSAGE_BYTES_MAX - HEAD_BYTES - dead_bytes(self._dead)
-        report: dict[int, int] = {}
-        fit = max(0, min(most, REPORT_ENTRIES_MAX, room // ENTRY_BYTES_MAX))
+        wide = room(self._dead, True)
+        fit = max(0, min(most, REPORT_ENTRIES_MAX, wide))
         unsent = peer.reports.unsent(fit + 1)
         more = len(unsent) > fit
-        for wire_id in unsent[:fit]:
-            report[wire_id] = self._counts.get(wire_id, 0)
-            room -= entry_bytes(report[wire_id])
-        told: dict[int, int] = {}
-        oldest = now
-        while sums and room >= ENTRY_BYTES_MAX:
-            wire_id = sums.pop(0)
-            as_of = self._as_of(now, wire_id)
-            if self._assignment.owner.get(wire_id) == self.me and as_of > NEVER:
-                told[wire_id] = min(COUNT_MAX, self._aggregator.others(wire_id, member))
-                oldest = min(oldest, as_of)
-                room -= entry_bytes(told[wire_id])
+        report = {w: self._counts.get(w, 0) for w in unsent[:fit]}
+        entries = room(self._dead, False) - len(report)
+        taken, rest = sums[:entries], sums[entries:]
+        told = self._told(member, taken)
+        if len(report) + len(told) > wide and any(map(is_wide, chain(report.values(), told.values()))):
+            entries = wide - len(report)
+            taken, rest = sums[:entries], sums[entries:]
+            told = self._told(member, taken)
+        sums[:] = rest
+        oldest = taken[0][1] if taken else now
         base = peer.reports.base
         peer.reports.sent(now, report)
-        message = Message(self.epoch, peer.reports.number, base, more, peer.epoch or 0, self._aggregator.applied(member),
-                          now - oldest, self._dead, report, told)
+        message = Message(self.epoch, peer.reports.number, base, more, peer.epoch or 0,
+                          self._aggregator.applied(member), now - oldest, self._dead, report, told)
         return encode(message), len(report), more
 
+    def _told(self, member: int, sums: list[tuple[int, float]]) -> dict[int, int]:
+        """What a peer is told of some workers, if they still are this member's to aggregate."""
+        owner, others = self._assignment.owner, self._aggregator.others
+        return {w: min(COUNT_MAX, others(w, member)) for w, _ in sums if owner.get(w) == self.me}
+
     # Receiving
 
     def on_message(self, now: float, sender: int, data: bytes,
@@ -338,20 +342,25 @@
         except MessageError:
             self.dropped[Drop.UNREADABLE] += 1
             return []
-        if not self._in_order(now, sender, peer, message):
+        if not self._of_this_life(now, sender, peer, message):
             self.dropped[Drop.LATE] += 1
             return []
-        peer.heard_at = now
-        if sender in self._assignment.dead:
-            self._returned(now, sender)
-        built_after = self._echoed(sender, peer, message)
-        self._take_report(sender, message, built_after)
-        if message.sums:
-            self._take_sums(message, built_after)
+        late = message.number <= peer.number
+        if late:  # no sign of life, but each sum says of when it is, and a report on what it builds
+            self.dropped[Drop.LATE] += 1
+        else:
+            peer.number = message.number
+            peer.heard_at = now
+            if sender in self._assignment.dead:
+                self._returned(now, sender)
+        built_after = self._echoed(sender, peer, message, late)
+        if not late or message.base:
+            self._take_report(sender, message, built_after)
+        self._take_sums(message, built_after)
         return []
 
-    def _in_order(self, now: float, sender: int, peer: _Peer, message: Message) -> bool:
-        """Whether a datagram is later than those that were taken; notes a new life of its sender."""
+    def _of_this_life(self, now: float, sender: int, peer: _Peer, message: Message) -> bool:
+        """Whether a datagram is of its sender's present life; notes a new one."""
         if message.epoch != peer.epoch:
             silent = now - peer.heard_at > self.plan.silent_ms
             if peer.epoch is not None and message.epoch < peer.epoch and not silent:
@@ -359,15 +368,12 @@
             peer.epoch = message.epoch
             peer.number = 0
             self._aggregator.reborn(sender)
-        if message.number <= peer.number:
-            return False
-        peer.number = message.number
         return True
 
-    def _echoed(self, sender: int, peer: _Peer, message: Message) -> float | None:
+    def _echoed(self, sender: int, peer: _Peer, message: Message, late: bool) -> float | None:
         """After when a datagram was built; None if it does not prove that."""
         known = message.echo if message.echo_epoch == self.epoch else 0
-        if not peer.reports.acknowledge(known):
+        if not late and not peer.reports.acknowledge(known):
             peer.reports.restart([w for w in self._counts if sender in self._targets(w)])
         return peer.reports.echoed(known) if known else None
 
@@ -378,6 +384,8 @@
             self._aggregator.cover(sender, built_after, message.dead, self._dead)
 
     def _take_sums(self, message: Message, built_after: float | None) -> None:
+        if not message.sums:
+            return
         if built_after is None:
             self.dropped[Drop.UNPROVEN] += 1
             return
@@ -400,6 +408,7 @@
         stopped = now - self._reviewed_at > self.plan.silent_ms / 2
         self._reviewed_at = now
         self._aggregator.refresh()
+        self._date(now, [w for w, _ in self._body])
         if stopped:  # whoever did not listen cannot say who was silent
             for peer in self._peers.values():
                 peer.heard_at = max(peer.heard_at, now - self.plan.silent_ms / 2)
--- a/gaphub/occupancy/sums.py
+++ b/gaphub/occupancy/sums.py
@@ -33,9 +33,9 @@
         return len(self._sums)
 
     def take(self, wire_id: int, others: int, as_of: float) -> None:
-        """Believe a sum, unless a newer one is held."""
+        """Believe a sum that is newer than what is held; the same once more changes nothing."""
         held = self._sums.get(wire_id)
-        if held is None or as_of >= held.as_of:
+        if held is None or as_of > held.as_of:
             self._sums[wire_id] = Sum(others, as_of)
 
     def get(self, wire_id: int) -> Sum:
--- a/gaphub/occupancy/sums_messages.py
+++ b/gaphub/occupancy/sums_messages.py
@@ -6,22 +6,23 @@
 
 Head (big endian): version 1 byte; flags 1; sender's epoch 4; number 4; base 4; epoch echoed 4; number echoed 4;
 age of the sums 2; how many dead 1; how many counts are reported 1.  Then the dead (2 bytes each, or a digest of
-4), the reported counts, and the sums to the end.  An entry is a worker's id (4 bytes) and a count: one byte up
-to 127, else two.
+4), the reported counts, and the sums to the end.  An entry is a worker's id (4 bytes) and a count: of one byte,
+or of two in all entries of a datagram that has to tell a larger one.
 """
 
 from __future__ import annotations
 
 import struct
 import zlib
-from collections.abc import Iterable, Set
+from collections.abc import Set
 from dataclasses import dataclass
 from enum import Enum
+from itertools import chain
 from math import ceil
 
 VERSION = 0xE1
 MESSAGE_BYTES_MAX = 256
-COUNT_MAX = 0x7FFF  # a larger count is told as this
+COUNT_MAX = 0xFFFF  # a larger count is told as this
 AGE_UNIT_MS = 100.0
 AGE_MAX_MS = 0xFFFF * AGE_UNIT_MS  # an older one is told as this, and is past every bound
 DEAD_NAMED_MAX = 8  # more are told as a digest
@@ -31,9 +32,13 @@
 HEAD_BYTES = _HEAD.size
 _MORE = 1
 _DIGEST = 2
-_FLAGS = _MORE | _DIGEST
-ENTRY_BYTES = 5  # of a count up to 127
-ENTRY_BYTES_MAX = 6
+_WIDE = 4
+_FLAGS = _MORE | _DIGEST | _WIDE
+_NARROW_ENTRY = struct.Struct(">IB")
+_WIDE_ENTRY = struct.Struct(">IH")
+_NARROW_MAX = 0xFF
+ENTRY_BYTES = _NARROW_ENTRY.size  # the usual
+ENTRY_BYTES_MAX = _WIDE_ENTRY.size
 
 
 class Fault(Enum):
@@ -62,6 +67,8 @@
     @staticmethod
     def of(dead: Set[int]) -> DeadSet:
         """As a message can tell it."""
+        if not dead:
+            return _NOBODY_DEAD
         digest = zlib.crc32(b"".join(m.to_bytes(2, "big") for m in sorted(dead)))
         return DeadSet(frozenset(dead) if len(dead) <= DEAD_NAMED_MAX else None, digest)
 
@@ -78,6 +85,9 @@
         return self.named is not None and self.named <= dead
 
 
+_NOBODY_DEAD = DeadSet(frozenset(), 0)
+
+
 @dataclass(frozen=True, slots=True)
 class Message:
     """One datagram."""
@@ -94,9 +104,14 @@
     sums: dict[int, int]  # all others' counts, without the receiver's
 
 
-def entry_bytes(count: int) -> int:
-    """The bytes of an entry with this count."""
-    return ENTRY_BYTES if count < 0x80 else ENTRY_BYTES_MAX
+def room(dead: DeadSet, wide: bool) -> int:
+    """How many entries a message has room for."""
+    return (MESSAGE_BYTES_MAX - HEAD_BYTES - dead_bytes(dead)) // (ENTRY_BYTES_MAX if wide else ENTRY_BYTES)
+
+
+def is_wide(count: int) -> bool:
+    """Whether a count needs a datagram of wide entries."""
+    return count > _NARROW_MAX
 
 
 def dead_bytes(dead: DeadSet) -> int:
@@ -104,13 +119,8 @@
     return 4 if dead.named is None else 2 * len(dead.named)
 
 
-def _entries(entries: Iterable[tuple[int, int]]) -> bytes:
-    parts = []
-    for wire_id, count in entries:
-        told = min(count, COUNT_MAX)
-        size = (1, told) if told < 0x80 else (2, 0x8000 | told)
-        parts.append(wire_id.to_bytes(4, "big") + size[1].to_bytes(size[0], "big"))
-    return b"".join(parts)
+def _entries(entries: dict[int, int], wide: bool) -> bytes:
+    return struct.pack(">" + ("IH" if wide else "IB") * len(entries), *chain.from_iterable(entries.items()))
 
 
 def encode(message: Message) -> bytes:
@@ -120,11 +130,12 @@
         told, names = 0, dead.digest.to_bytes(4, "big")
     else:
         told, names = len(dead.named), b"".join(m.to_bytes(2, "big") for m in sorted(dead.named))
-    flags = (_MORE if message.more else 0) | (_DIGEST if dead.named is None else 0)
+    wide = is_wide(max(chain(message.report.values(), message.sums.values()), default=0))
+    flags = (_MORE if message.more else 0) | (_DIGEST if dead.named is None else 0) | (_WIDE if wide else 0)
     age = ceil(min(message.age_ms, AGE_MAX_MS) / AGE_UNIT_MS)
     head = _HEAD.pack(VERSION, flags, message.epoch, message.number, message.base, message.echo_epoch,
                       message.echo, age, told, len(message.report))
-    return head + names + _entries(message.report.items()) + _entries(message.sums.items())
+    return head + names + _entries(message.report, wide) + _entries(message.sums, wide)
 
 
 def decode(data: bytes) -> Message:
@@ -144,28 +155,13 @@
         dead = DeadSet(None, int.from_bytes(names, "big"))
     else:
         dead = DeadSet.of({int.from_bytes(names[i:i + 2], "big") for i in range(0, len(names), 2)})
-    try:
-        at, report = _read(data, at, reported)
-        _, sums = _read(data, at, MESSAGE_BYTES_MAX)
-    except IndexError:
-        raise MessageError(Fault.MALFORMED) from None
+    entry = _WIDE_ENTRY if flags & _WIDE else _NARROW_ENTRY
+    end = at + reported * entry.size
+    if end > len(data) or (len(data) - end) % entry.size:
+        raise MessageError(Fault.MALFORMED)
+    report: dict[int, int] = dict(entry.iter_unpack(data[at:end]))
+    sums: dict[int, int] = dict(entry.iter_unpack(data[end:]))
     if len(report) != reported:
         raise MessageError(Fault.MALFORMED)
     return Message(epoch, number, base, bool(flags & _MORE), echo_epoch, echo, age * AGE_UNIT_MS, dead, report,
                    sums)
-
-
-def _read(data: bytes, at: int, most: int) -> tuple[int, dict[int, int]]:
-    """Up to so many entries, and where they end; IndexError if the last one is cut short."""
-    entries: dict[int, int] = {}
-    end = len(data)
-    while at < end and most > 0:
-        count = data[at + 4]
-        wire_id = data[at] << 24 | data[at + 1] << 16 | data[at + 2] << 8 | data[at + 3]
-        at += 5
-        if count & 0x80:
-            count = (count & 0x7F) << 8 | data[at]
-            at += 1
-        entries[wire_id] = count
-        most -= 1
-    return at, entries
--- a/tests/occupancy_network.py
+++ b/tests/occupancy_network.py
@@ -16,7 +16,7 @@
 from heapq import heappop, heappush
 
 from gaphub.occupancy.budget import Limits
-from gaphub.occupancy.sharded import ShardedExchange
+from gaphub.occupancy.sharded import Drop, ShardedExchange
 
 STEP_MS = 50.0
 SILENT_MS = 5_000.0  # the shortest silence after which a member may be dead to another
@@ -134,14 +134,18 @@
                 self._take(sender, peer, data)
 
     def _take(self, sender: int, peer: int, data: bytes) -> None:
+        exchange = self.exchanges[peer]
+        late = exchange.dropped[Drop.LATE]
+        assert exchange.on_message(self.now, sender, data) == []
+        if exchange.dropped[Drop.LATE] > late:
+            return  # what is overtaken is no sign of life
         if self.now - self.heard_at.get((sender, peer), -1e18) > SILENT_MS:
             self.heard_since[sender, peer] = self.now
         self.heard_at[sender, peer] = self.now
-        assert self.exchanges[peer].on_message(self.now, sender, data) == []
 
     def heard(self, member: int, by: int, since: float) -> bool:
-        """Whether a member was heard by another without a gap ever since."""
-        return (self.heard_since.get((member, by), 1e18) <= since
+        """Whether a member was heard by another without a gap ever since, and before that moment."""
+        return (self.heard_since.get((member, by), 1e18) < since
                 and self.now - self.heard_at[member, by] <= SILENT_MS)
 
     def understated(self) -> list[str]:
