--- a/gaphub/occupancy/identity.py
+++ b/gaphub/occupancy/identity.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterator
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -44,8 +45,8 @@
     def __contains__(self, number: int) -> bool:
         return number in self._ids
 
-    def __len__(self) -> int:
-        return len(self._ids)
+    def __iter__(self) -> Iterator[int]:
+        return iter(self._ids)
 
     def id_of(self, number: int) -> int:
         """The id of a known worker."""
--- a/gaphub/occupancy/sharded.py
+++ b/gaphub/occupancy/sharded.py
@@ -5,13 +5,14 @@
 
 Every scheduler sends every other one datagram a round, spread over the round: its report to that peer, and sums of
 workers that it aggregates.  See docs/design/occupancy-at-size.md for what is promised.
+
+The methods are those of the exchange all to all, and ``listed`` and ``unlisted``: workers need their names here.
 """
 
 from __future__ import annotations
 
-import random as random_module
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import chain
@@ -50,6 +51,13 @@
     data: bytes
 
 
+class Received(NamedTuple):
+    """What a datagram from a peer brings; here never anything."""
+
+    replies: Sequence[Outgoing] = ()
+    capacities: Mapping[int, int] = {}
+
+
 class Drop(Enum):
     """Why something that came in was not used."""
 
@@ -62,6 +70,9 @@
     DISAGREES = "sums by a view in which somebody is dead who is heard here"
 
 
+NO_NEWS = Received()
+
+
 @dataclass(slots=True)
 class _Peer:
     """What is known of another member."""
@@ -103,7 +114,7 @@
         self._fresh_at = NEVER
         self._fresh = False
         self.plan = self._plan(0.0, 0.0)
-        self.next_wake = now + WAKE_MS
+        self._wakeup: float | None = now + WAKE_MS  # wanted, and not yet handed out
 
     # Workers
 
@@ -119,6 +130,17 @@
         self._follow(wire_id)
         self._recount(wire_id)
 
+    def set_workers(self, slots_out: Mapping[int, float]) -> None:
+        """Follow the list: which of the workers that were ``listed`` it still names, and the own slots out."""
+        for worker_id in [n for n in self._identities if n not in slots_out]:
+            self.unlisted(0.0, worker_id)
+        for worker_id, slots in slots_out.items():
+            self.changed(0.0, worker_id, slots, False)
+
+    def announce_capacity(self, capacities: Mapping[int, float]) -> Sequence[Outgoing]:
+        """Nothing: slots of kinds of workers are not told in this format."""
+        return ()
+
     def unlisted(self, now: float, worker_id: int) -> None:
         """A worker is listed no more; what is out at it is still reported."""
         if worker_id not in self._identities:
@@ -128,10 +150,10 @@
         else:
             self._forget(worker_id)
 
-    def changed(self, now: float, worker_id: int, slots_out: float, more: bool) -> list[Outgoing]:
+    def changed(self, now: float, worker_id: int, slots_out: float, more: bool) -> Sequence[Outgoing]:
         """The own slots out at a worker have changed; nothing is told before the next round."""
         if worker_id not in self._identities:
-            return []
+            return ()
         if slots_out > 0.0:
             self._slots[worker_id] = slots_out
         else:
@@ -140,7 +162,7 @@
         if slots_out <= 0.0 and worker_id in self._leaving:
             self._leaving.discard(worker_id)
             self._forget(worker_id)
-        return []
+        return ()
 
     def _forget(self, worker_id: int) -> None:
         wire_id = self._identities.id_of(worker_id)
@@ -245,8 +267,13 @@
 
     # Sending
 
-    def wake(self, now: float) -> list[Outgoing]:
-        """Send what is due; to be called at ``next_wake``."""
+    def take_wakeup(self) -> float | None:
+        """A moment for ``on_wakeup`` that was not handed out before; None: no further one."""
+        wakeup, self._wakeup = self._wakeup, None
+        return wakeup
+
+    def on_wakeup(self, now: float, due: float, random: Callable[[], float]) -> Sequence[Outgoing]:
+        """Send what is due: the moment ``due``, of ``take_wakeup``, has come."""
         outgoing: list[Outgoing] = []
         self._review(now)
         while self._next < self._due(now) and self._bucket.allows(now):
@@ -254,7 +281,7 @@
             self._next += 1
         if self._next >= len(self._order) and now - self._round_at >= self.plan.round_ms:
             self._begin_round(now)
-        self.next_wake = now + max(WAKE_MS, self.plan.round_ms / max(1, len(self._order)))
+        self._wakeup = now + max(WAKE_MS, self.plan.round_ms / max(1, len(self._order)))
         return outgoing
 
     def _due(self, now: float) -> int:
@@ -330,21 +357,26 @@
 
     # Receiving
 
-    def on_message(self, now: float, sender: int, data: bytes,
-                   random: random_module.Random | None = None) -> list[Outgoing]:
+    def on_message(self, now: float, sender: int, data: bytes, capacities: Mapping[int, float],
+                   random: Callable[[], float]) -> Received:
         """Take a datagram; nothing is ever sent in answer."""
         peer = self._peers.get(sender)
         if peer is None:
             self.dropped[Drop.STRANGER] += 1
-            return []
+            return NO_NEWS
         try:
             message = decode(data)
         except MessageError:
             self.dropped[Drop.UNREADABLE] += 1
-            return []
-        if not self._of_this_life(now, sender, peer, message):
+            return NO_NEWS
+        if self._of_this_life(now, sender, peer, message):
+            self._take(now, sender, peer, message)
+        else:
             self.dropped[Drop.LATE] += 1
-            return []
+        return NO_NEWS
+
+    def _take(self, now: float, sender: int, peer: _Peer, message: Message) -> None:
+        """Take a message of the sender's present life."""
         late = message.number <= peer.number
         if late:  # no sign of life, but each sum says of when it is, and a report on what it builds
             self.dropped[Drop.LATE] += 1
@@ -357,7 +389,6 @@
         if not late or message.base:
             self._take_report(sender, message, built_after)
         self._take_sums(message, built_after)
-        return []
 
     def _of_this_life(self, now: float, sender: int, peer: _Peer, message: Message) -> bool:
         """Whether a datagram is of its sender's present life; notes a new one."""
@@ -441,4 +472,4 @@
         self._aggregator.live(self._peers.keys() - dead)
 
 
-__all__ = ["Drop", "Limits", "Outgoing", "ShardedExchange"]
+__all__ = ["Drop", "Limits", "Outgoing", "Received", "ShardedExchange"]
--- a/tests/occupancy_network.py
+++ b/tests/occupancy_network.py
@@ -16,7 +16,7 @@
 from heapq import heappop, heappush
 
 from gaphub.occupancy.budget import Limits
-from gaphub.occupancy.sharded import Drop, ShardedExchange
+from gaphub.occupancy.sharded import Drop, Received, ShardedExchange
 
 STEP_MS = 50.0
 SILENT_MS = 5_000.0  # the shortest silence after which a member may be dead to another
@@ -43,6 +43,7 @@
         self.members = list(range(members))
         self.lives = dict.fromkeys(self.members, 0)
         self.exchanges: dict[int, ShardedExchange] = {}
+        self.due: dict[int, float] = {}
         self.stopped: set[int] = set()
         self.cut: Callable[[int, int], bool] = lambda a, b: False
         self.history: dict[tuple[int, int], list[tuple[float, int]]] = defaultdict(lambda: [(-1e18, 0)])
@@ -60,6 +61,7 @@
         self.lives[member] += 1
         exchange = ShardedExchange(self.now, member, self.members, self.lives[member], self.limits)
         self.exchanges[member] = exchange
+        self.due[member] = exchange.take_wakeup() or self.now
         for number, name in self.workers.items():
             exchange.listed(self.now, number, name)
 
@@ -107,8 +109,10 @@
             self._deliver()
             self.busy(changes)
             for member, exchange in list(self.exchanges.items()):
-                if member not in self.stopped and exchange.next_wake <= self.now:
-                    for peer, data in exchange.wake(self.now):
+                if member not in self.stopped and self.due[member] <= self.now:
+                    told = exchange.on_wakeup(self.now, self.due[member], self.rnd.random)
+                    self.due[member] = exchange.take_wakeup() or self.now
+                    for peer, data in told:
                         self.bytes_sent[member].append((self.now, len(data)))
                         self._send(member, peer, data)
 
@@ -136,7 +140,7 @@
     def _take(self, sender: int, peer: int, data: bytes) -> None:
         exchange = self.exchanges[peer]
         late = exchange.dropped[Drop.LATE]
-        assert exchange.on_message(self.now, sender, data) == []
+        assert exchange.on_message(self.now, sender, data, {}, self.rnd.random) == Received()
         if exchange.dropped[Drop.LATE] > late:
             return  # what is overtaken is no sign of life
         if self.now - self.heard_at.get((sender, peer), -1e18) > SILENT_MS:
@@ -250,8 +254,8 @@
             exchanges[member].changed(now, worker, count, more)
         for exchange, datagrams in zip(exchanges, arriving, strict=True):
             for sender, data in datagrams:
-                exchange.on_message(now, sender, data)
-            for peer, data in exchange.wake(now):
+                exchange.on_message(now, sender, data, {}, rnd.random)
+            for peer, data in exchange.on_wakeup(now, now, rnd.random):
                 out_bytes += len(data) * counted
                 out_datagrams += counted
                 if not loss or rnd.random() >= loss:
--- a/tests/test_occupancy_at_size.py
+++ b/tests/test_occupancy_at_size.py
@@ -8,6 +8,7 @@
 import sys
 from itertools import permutations
 from math import sqrt
+from typing import Any
 
 import pytest
 from hypothesis import Phase, given, settings
@@ -19,7 +20,7 @@
 from gaphub.occupancy.budget import LARGE_PART, Limits, SumOrder, TokenBucket, plan
 from gaphub.occupancy.identity import Identities, first_id, second_id
 from gaphub.occupancy.reports import PeerReports
-from gaphub.occupancy.sharded import Drop, ShardedExchange
+from gaphub.occupancy.sharded import Drop, Received, ShardedExchange
 from gaphub.occupancy.sums_messages import (
     AGE_MAX_MS,
     COUNT_MAX,
@@ -224,10 +225,10 @@
     exchange, workers = network.exchanges[0], range(1_000, 1_004)
     before = _state(exchange, workers)
     for sender, data in datagrams:
-        assert exchange.on_message(network.now, sender, data) == []
+        assert exchange.on_message(network.now, sender, data, {}, random.random) == Received()
         if sender in (1, 2):
             # A well-formed head by chance is one of 2**8; these are not.
-            assert exchange.on_message(network.now, sender, b"\xe2" + data) == []
+            assert exchange.on_message(network.now, sender, b"\xe2" + data, {}, random.random) == Received()
     if all(not data.startswith(bytes([VERSION])) for _, data in datagrams):
         assert _state(exchange, workers) == before
         assert sum(exchange.dropped.values()) >= len(datagrams)
@@ -240,7 +241,7 @@
     exchange = network.exchanges[0]
     for tail in tails:
         for data in (bytes([VERSION, 0]) + tail, bytes([VERSION, 0, 0, 0, 0, 9, 0, 0, 0, 99, 0, 0, 0, 0]) + tail):
-            assert exchange.on_message(network.now, 1, data) == []
+            assert exchange.on_message(network.now, 1, data, {}, random.random) == Received()
     network.run(1_000, 2)
     assert all(exchange.out(w) == 0 for w in (1, 2, 999, 1_004))
 
@@ -285,15 +286,15 @@
     exchange = network.exchanges[0]
     plain = exchange.on_message
 
-    def twice(now: float, sender: int, data: bytes, rnd: random.Random | None = None) -> list[object]:
-        plain(now, sender, data)
+    def twice(now: float, sender: int, data: bytes, *rest: Any) -> Received:
+        plain(now, sender, data, *rest)
         taken.append((sender, data))
         before = _state(exchange, range(1_000, 1_006)), exchange.speaks()
         for again in network.rnd.sample(taken, min(3, len(taken))):
-            plain(now, *again)
-        plain(now, sender, data)
+            plain(now, *again, *rest)
+        plain(now, sender, data, *rest)
         assert (_state(exchange, range(1_000, 1_006)), exchange.speaks()) == before
-        return []
+        return Received()
 
     exchange.on_message = twice  # type: ignore[method-assign, assignment]
     network.run(15_000, 3)
@@ -311,18 +312,37 @@
     before = _state(exchange, workers), exchange.speaks()
     old = encode_counts(what, number, list(table.items()))
     for data in (old, b"\xc2\x01", b"gh1" + old[:200]):
-        exchange.on_message(network.now, 1, data)
+        exchange.on_message(network.now, 1, data, {}, random.random)
     assert (_state(exchange, workers), exchange.speaks()) == before
     assert exchange.dropped[Drop.UNREADABLE] == 3
     ledger = Ledger(2)
     ledger.take(0.0, 1, old)
     totals, heard = dict(ledger.total), dict(ledger.heard)
     network.now += 2_000
-    for _, data in exchange.wake(network.now):
+    told = exchange.on_wakeup(network.now, network.now, random.random)
+    assert told
+    for _, data in told:
         assert ledger.take(1.0, 2, data) is None
     assert (ledger.total, ledger.heard) == (totals, heard)
 
 
+def test_a_list_that_names_fewer_workers_leaves_those_with_slots_out_reported() -> None:
+    network = Network(5, 3, 30)
+    assignment = Assignment(range(3))  # a worker that its aggregator does not list has no new sums
+    gone, kept, idle = [n for n, name in network.workers.items() if assignment.add(first_id(name))][:3]
+    network.set(0, gone, 2)
+    network.run(8_000)
+    first, second = network.exchanges[0], network.exchanges[1]
+    first.set_workers({kept: 1.5, 4_711: 9.0})
+    network.run(4_000)
+    assert [second.out(w) for w in (gone, kept, idle)] == [2, 2, 0]
+    assert first.age(network.now, idle) > 1e9 and first.out(4_711) == 0
+    first.changed(network.now, gone, 0.0, False)
+    network.run(4_000)
+    assert [second.out(w) for w in (gone, kept, idle)] == [0, 2, 0]
+    assert first.age(network.now, gone) > 1e9
+
+
 # Reports
 
 @given(st.lists(st.tuples(st.sampled_from(["mark", "round", "lose"]), st.integers(0, 20)), max_size=80))
@@ -359,9 +379,24 @@
     assert reports.unsent(1) == []
 
 
+def test_a_datagram_acknowledges_nothing_of_earlier_rounds() -> None:
+    reports = PeerReports()
+    for worker in (1, 2, 3):
+        reports.mark(worker)
+    reports.begin_round()
+    reports.sent(0.0, reports.unsent(3))  # lost
+    reports.begin_round()
+    reports.sent(0.0, reports.unsent(1))  # taken
+    assert reports.acknowledge(2)
+    reports.begin_round()
+    assert reports.base == 2
+    assert reports.unsent(9) == [2, 3]
+
+
 # The budget
 
-@given(st.floats(300.0, 50_000.0), st.lists(st.tuples(st.floats(0.0, 2_000.0), st.integers(1, 256)), max_size=200))
+@given(st.floats(300.0, 50_000.0), st.lists(st.tuples(st.floats(0.0, 200.0), st.integers(100, 256)),
+                                            min_size=20, max_size=200))
 def test_the_bucket_holds_over_any_time(rate: float, wishes: list[tuple[float, int]]) -> None:
     bucket, now = TokenBucket(0.0, rate), 0.0
     sent = list[tuple[float, int]]()
