--- a/tests/test_occupancy_at_size.py
+++ b/tests/test_occupancy_at_size.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import Phase, given, settings
+from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
 from gaphub.counts import ALL, CHANGE, HELLO, SLOTS, Ledger
@@ -411,6 +411,16 @@
             assert total <= rate * (sent[last][0] - sent[first][0]) / 1_000.0 + max(rate, 256.0) + 1e-6
 
 
+@pytest.mark.parametrize("rate", [300.0, 2_000.0, 11_000.0])
+def test_the_bucket_gives_what_it_has_and_no_more(rate: float) -> None:
+    bucket, sent = TokenBucket(0.0, rate), 0
+    for now in range(0, 60_000, 5):
+        while bucket.allows(now):
+            bucket.spend(200)
+            sent += 200
+    assert 0.95 * 60 * rate - 256 <= sent <= 60 * rate
+
+
 @given(st.integers(1, 400), st.integers(1, 1_100), st.integers(0, 300), st.floats(1_000.0, 40_000.0))
 def test_the_bound_grows_as_the_budget_binds(peers: int, shard: int, reports: int, rate: float) -> None:
     def bound(rate: float, shard: int, reports: float) -> float:
@@ -453,7 +463,8 @@
 
 
 @settings(SIMULATED, max_examples=15)
-@given(SEEDS, st.integers(2, 8), st.integers(1, 60), st.floats(600.0, 6_000.0), st.integers(0, 60))
+@given(SEEDS, st.integers(2, 8), st.integers(1, 60), st.floats(300.0, 6_000.0), st.integers(0, 60))
+@example(1, 8, 60, 300.0, 30)
 def test_no_load_makes_a_member_send_more_than_its_budget(seed: int, members: int, workers: int, rate: float,
                                                          changes: int) -> None:
     network = Network(seed, members, workers, Limits(bytes_per_s=rate))
