Tests: a crowd of idle clients under a real limit of 640 descriptors

A real process with RLIMIT_NOFILE 640, 300 workers (its part for them is filled first), 1,400 idle clients that come again when closed, 30 silent operators, and discovery that refuses, is silent or stays; then a changed list has to be heard within 6 s, a new client served, the operators' address answer. The class Process of test_ops.py moves to tests/processes.py, discovery's stand-in is tests/discovery.py.

--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,178 @@
+"""Real processes of the scheduler for tests, and the calls that clients and operators make to them.
+
+Every process is ended by its own handle: by ``end``, or by leaving ``running``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Protocol
+
+from gaphub.config import Address
+
+from .scenario import SETTINGS, free_port
+
+READY_S = 20.0
+ADMIN = "GET /ops/readiness"
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class HasAddress(Protocol):
+    """A stand-in for discovery's agent."""
+
+    address: Address
+
+
+class Process:
+    """One process of a scheduler, as the platform starts it."""
+
+    def __init__(self, folder: Path, listen: int, agent: HasAddress, stem: str, descriptors: int = 0,
+                 fronts: str = "", **more: Any) -> None:
+        """``descriptors``: the limit on open files that it runs under; 0: that of this process.
+
+        ``fronts``: the text of its fronts file; empty: that of the deployment.
+        """
+        self.listen = listen
+        self.admin = free_port()
+        self.log = folder / f"{stem}.log"
+        self.file = folder / f"{stem}.json"
+        self.folder = folder
+        self.descriptors = descriptors
+        self.fronts = fronts
+        self.settings = {
+            "name": "n0", "listen": f"127.0.0.1:{listen}", "seed": "1", "admin": f"127.0.0.1:{self.admin}",
+            "discovery": "{}:{}".format(*agent.address), "settings": SETTINGS, **more}
+        self.began = 0.0
+        self.start()
+
+    def start(self) -> None:
+        """Start, the first time or again, with the files that it has."""
+        self.file.write_text(json.dumps(self.settings))
+        env = {**os.environ, "LB_CONFIG": str(self.file), "TMPDIR": str(self.folder)}
+        for key in ("LB_FRONTS", "LB_LISTEN", "LB_DISCOVERY", "LB_NAME", "LB_ADMIN"):
+            env.pop(key, None)
+        if self.fronts:
+            (fronts := self.file.with_suffix(".toml")).write_text(self.fronts)
+            env["LB_FRONTS"] = str(fronts)
+        self.began = time.monotonic()
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "gaphub"], env=env, stderr=log)
+        if self.descriptors:
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
+    def reload(self, **more: Any) -> None:
+        """SIGHUP, with these keys of its file changed."""
+        self.settings |= more
+        self.file.write_text(json.dumps(self.settings))
+        self.process.send_signal(signal.SIGHUP)
+
+    def end(self, how: signal.Signals = signal.SIGKILL, within_s: float = 10.0) -> None:
+        """Send a signal and wait for the end."""
+        self.process.send_signal(how)
+        self.process.wait(within_s)
+
+    def open_descriptors(self) -> int:
+        """How many it holds now."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def processor_s(self) -> float:
+        """The processor time that it has used."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    async def call(self, what: str, body: str = "") -> int:
+        try:
+            answer = await self.ask(what, body)
+        except OSError:
+            return 0
+        return int(answer.split()[1])
+
+    async def ask(self, what: str, body: str = "") -> bytes:
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
+            writer.write(f"{what} HTTP/1.1\r\nHost: o\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+            answer = await reader.read()
+            writer.close()
+        return answer
+
+    async def stats(self) -> Any:
+        return json.loads((await self.ask("GET /ops/stats")).partition(b"\r\n\r\n")[2])
+
+    async def ready(self) -> None:
+        """Until the operators' address says so."""
+        async with asyncio.timeout(READY_S):
+            while await self.call(ADMIN) != 200:
+                await asyncio.sleep(0.05)
+
+    async def took_to_ready(self) -> float:
+        """Wait until the platform's address and, where there is one, the operators' say so; s from the start.
+
+        Infinite where the process ended or ``READY_S`` passed.
+        """
+        try:
+            async with asyncio.timeout(self.began + READY_S - time.monotonic()):
+                while await front_ready(self.listen) != 200:
+                    if self.process.poll() is not None:
+                        return float("inf")
+                    await asyncio.sleep(0.05)
+                while self.settings["admin"] and await self.call(ADMIN) != 200:
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            return float("inf")
+        return time.monotonic() - self.began
+
+
+@contextmanager
+def running(processes: list[Process]) -> Iterator[list[Process]]:
+    """Kill all that the list holds in the end."""
+    try:
+        yield processes
+    finally:
+        for each in processes:
+            each.process.kill()
+        for each in processes:
+            each.process.wait()
+
+
+async def _status(listen: int, request: str) -> int:
+    """The status of one request on a connection of its own, 0 where it was refused or reset."""
+    writer: asyncio.StreamWriter | None = None
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+        writer.write(request.encode())
+        head = await reader.readline()
+        return int(head.split()[1]) if head else 0
+    except OSError:
+        return 0
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def front_ready(listen: int) -> int:
+    """What the platform's front is told."""
+    return await _status(listen, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+
+
+async def job(listen: int, ident: str, cls: str = "vyuctovani") -> int:
+    """One job on a connection of its own: the status, 0 where the connection was refused or reset."""
+    return await _status(listen, f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\n"
+                         f"X-Priority-Class: {cls}\r\nX-Timeout: 5000m\r\nContent-Length: 0\r\n\r\n")
+
+
+async def counters(listen: int) -> str:
+    reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+    writer.write(b"GET /-/counters HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    answer = await reader.read()
+    writer.close()
+    return answer.decode()
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,190 @@
+"""A real process under a real limit of descriptors, while more idle clients than that come and stay.
+
+What a descriptor can be: a client's connection (``INBOUND_PART`` of the limit), one to a worker
+(``OUTBOUND_PART``), an operator's (a 32nd of it), discovery's, and about a dozen that every process has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import resource
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gaphub.lab.world import Workers
+from gaphub.net.http import OUTBOUND_PART
+
+from .discovery import Discovery, Mood
+from .processes import ADMIN, Process, counters, job, running
+from .scenario import SETTINGS, free_port
+
+LIMIT = 640  # descriptors
+CROWD = 1_400  # connections that idle clients keep open, or try to
+OPENINGS = 20_000  # of theirs, at most
+BUSY_CLIENTS = 40  # more, each with one job after another
+WORKERS = 300  # more than a process may have connections to at once
+JOBS_AT_ONCE = 280  # as well
+WORK_MS = {"poloha": 1_500.0, "vyuctovani": 20.0}
+OPERATORS = 30  # connections to the operators' address on which nothing comes
+CROWD_S = 2.0  # discovery is gone for so long while the crowd is there
+TOLD_S = 6.05
+WITHIN_S = 5.0  # a new client's job, with the crowd there; its time-out
+FIRST_WORDS = [b"", b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n", b"POST /api HTTP/1.1\r\nHost: a\r\n"]
+
+
+@pytest.fixture(autouse=True)
+def own_descriptors() -> Iterator[None]:
+    """This process holds the crowd's ends and the workers'."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+@dataclass
+class Crowd:
+    """Idle clients: each opens a connection, says some first words or none, stays, and comes again when closed."""
+
+    port: int
+    openings: int = 0
+    held: int = 0
+    most_held: int = 0
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def come(self) -> None:
+        self.tasks = [asyncio.create_task(self._client(FIRST_WORDS[i % len(FIRST_WORDS)])) for i in range(CROWD)]
+
+    async def go(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _client(self, words: bytes) -> None:
+        while self.openings < OPENINGS:
+            self.openings += 1
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                self.held += 1
+                self.most_held = max(self.held, self.most_held)
+                try:
+                    writer.write(words)
+                    while await reader.read(4096):
+                        pass
+                finally:
+                    self.held -= 1
+                    writer.transport.abort()
+            await asyncio.sleep(0.3)
+
+
+@dataclass
+class Watch:
+    """The most descriptors that a process was seen to hold."""
+
+    process: Process
+    peak: int = 0
+
+    async def run(self) -> None:
+        while True:
+            self.peak = max(self.peak, self.process.open_descriptors())
+            await asyncio.sleep(0.01)
+
+
+async def gone(discovery: Discovery, how: str) -> None:
+    """Discovery is out of reach from now on."""
+    if how == "refuses":
+        await discovery.refuse()
+    elif how == "is silent":
+        discovery.mood = Mood.HANG
+
+
+async def back(discovery: Discovery, how: str) -> None:
+    """Discovery can be reached again."""
+    if how == "refuses":
+        await discovery.listen()
+    discovery.mood = Mood.WELL
+
+
+async def fill_the_workers_part(listen: int) -> None:
+    """Have so many jobs under way at once that as many connections to workers stay open as may be."""
+    jobs = []
+    for i in range(JOBS_AT_ONCE):
+        jobs.append(asyncio.create_task(job(listen, f"fill-{i}", "poloha")))
+        await asyncio.sleep(0.004)
+    served = (await asyncio.gather(*jobs)).count(200)
+    assert served > LIMIT * OUTBOUND_PART * 0.8, served
+
+
+@pytest.mark.parametrize("how", ["refuses", "is silent", "stays"])
+def test_a_crowd_of_idle_clients_under_a_real_limit_while_discovery(how: str, tmp_path: Path) -> None:
+    async def play() -> None:
+        old, new = Workers(WORK_MS), Workers(WORK_MS)
+        await old.open(WORKERS)
+        await new.open(2)
+        discovery = Discovery()
+        for i, (_, port) in enumerate(old.addresses):
+            discovery.put(f"old-{i}", port)
+        await discovery.listen()
+        listen = free_port()
+        one = Process(tmp_path, listen, discovery, "one", LIMIT, settings={**SETTINGS, "familyInfo": {}},
+                      limits={"memory_mb": 64, "sockets": LIMIT})
+        crowd, watch = Crowd(listen), Watch(one)
+        served: Counter[int] = Counter()
+
+        async def client(number: int) -> None:
+            for i in itertools.count():
+                served[await job(listen, f"busy-{number}-{i}")] += 1
+
+        tasks: list[asyncio.Task[Any]] = []
+        with running([one]):
+            try:
+                await one.ready()
+                tasks = [asyncio.create_task(watch.run())]
+                await fill_the_workers_part(listen)
+                tasks += [asyncio.create_task(client(i)) for i in range(BUSY_CLIENTS)]
+                crowd.come()
+                await gone(discovery, how)
+                operators = [await asyncio.open_connection("127.0.0.1", one.admin) for _ in range(OPERATORS)]
+                await asyncio.sleep(CROWD_S)
+                for i, (_, port) in enumerate(old.addresses):
+                    discovery.put(f"old-{i}", port, "left")
+                for i, (_, port) in enumerate(new.addresses):
+                    discovery.put(f"new-{i}", port)
+                await back(discovery, how)
+                async with asyncio.timeout(TOLD_S):
+                    while not new.ran:
+                        await asyncio.sleep(0.02)
+                async with asyncio.timeout(WITHIN_S):
+                    assert await job(listen, "newcomer") == 200
+                assert await one.call(ADMIN) == 200
+                assert (await one.stats())["targets"] == len(new.addresses)
+                for _, writer in operators:
+                    writer.close()
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+                await crowd.go()
+            # Else it was no crowd, or no pressure on the descriptors.
+            assert crowd.most_held > LIMIT
+            assert watch.peak > LIMIT * 0.75, watch.peak
+            assert served[200] > 0
+            assert one.process.poll() is None
+            counts = json.loads((await counters(listen)).partition("\r\n\r\n")[2])
+            faults = {"connections.not_accepted", "ops.not_accepted", "calls.raised", "core_failed"}
+            assert not counts.keys() & faults
+            assert "Too many open files" not in one.log.read_text()
+            print(f"discovery {how}: {watch.peak} descriptors at most, {crowd.openings} connections of the crowd, "
+                  f"{crowd.most_held} at once")
+        await discovery.refuse()
+        old.close()
+        new.close()
+
+    asyncio.run(play())
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import json
-import os
 import signal
-import subprocess
-import sys
 import time
 from collections import Counter
 from pathlib import Path
@@ -24,6 +21,7 @@
 from gaphub.ops.out import Outs, Word
 
 from .fake import World, entry
+from .processes import Process, counters, job
 from .scenario import CLASSES, SETTINGS, Cast, free_port
 
 # The first call asks for the whole list: readiness waits for the answer.
@@ -269,65 +267,6 @@
 # --- upgrades: two processes of one scheduler --------------------------------------------------------
 
 
-class Process:
-    """One process of a scheduler, as the platform starts it."""
-
-    def __init__(self, folder: Path, listen: int, agent: Agent, stem: str, **more: Any) -> None:
-        self.admin = free_port()
-        file = folder / f"{stem}.json"
-        file.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{listen}", "seed": "1", "admin": f"127.0.0.1:{self.admin}",
-            "discovery": "{}:{}".format(*agent.address), "settings": SETTINGS, **more}))
-        env = {**os.environ, "LB_CONFIG": str(file), "TMPDIR": str(folder)}
-        for key in ("LB_FRONTS", "LB_LISTEN", "LB_DISCOVERY", "LB_NAME", "LB_ADMIN"):
-            env.pop(key, None)
-        self.process = subprocess.Popen([sys.executable, "-m", "gaphub"], env=env, stderr=subprocess.DEVNULL)
-
-    async def call(self, what: str, body: str = "") -> int:
-        try:
-            answer = await self.ask(what, body)
-        except OSError:
-            return 0
-        return int(answer.split()[1])
-
-    async def ask(self, what: str, body: str = "") -> bytes:
-        async with asyncio.timeout(2.0):
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
-            writer.write(f"{what} HTTP/1.1\r\nHost: o\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
-            answer = await reader.read()
-            writer.close()
-        return answer
-
-    async def stats(self) -> Any:
-        return json.loads((await self.ask("GET /ops/stats")).partition(b"\r\n\r\n")[2])
-
-    async def ready(self) -> None:
-        async with asyncio.timeout(20.0):
-            while await self.call("GET /ops/readiness") != 200:
-                await asyncio.sleep(0.05)
-
-
-async def job(listen: int, ident: str, cls: str = "vyuctovani") -> int:
-    """One job on a connection of its own: the status, 0 where the connection was refused or reset."""
-    try:
-        reader, writer = await asyncio.open_connection("127.0.0.1", listen)
-        writer.write(f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\nX-Priority-Class: {cls}\r\n"
-                     f"X-Timeout: 5000m\r\nContent-Length: 0\r\n\r\n".encode())
-        head = await reader.readline()
-        writer.close()
-        return int(head.split()[1]) if head else 0
-    except OSError:
-        return 0
-
-
-async def counters(listen: int) -> str:
-    reader, writer = await asyncio.open_connection("127.0.0.1", listen)
-    writer.write(b"GET /-/counters HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-    answer = await reader.read()
-    writer.close()
-    return answer.decode()
-
-
 @pytest.mark.parametrize("how", ["upgrade", "never ready", "killed midway", "old one killed"])
 def test_an_upgrade_loses_no_job_and_keeps_who_is_out(how: str, tmp_path: Path) -> None:
     async def play() -> None:
@@ -344,7 +283,7 @@
             async with asyncio.timeout(10.0):
                 while not list(tmp_path.glob("*.legacy")):
                     await asyncio.sleep(0.05)
-            bad = {"admin": "nowhere"} if how == "never ready" else {}
+            bad: dict[str, Any] = {"admin": "nowhere"} if how == "never ready" else {}
             new = Process(tmp_path, listen, agent, "new", **bad)
             both.append(new)
             if how == "never ready":
