A new agent that garbles its whole list is asked for it again

Cause: after SIGHUP named another agent, or at a start with an operators' address, the whole list is asked for. If that answer could not be read, the call did not count as failed: the wish for the whole list was dropped, and what followed was a watch by the old agent's version. An agent that counts its versions anew has nothing newer, and its list was never heard. Change: the wish is kept until a whole list has been read. Tests: 4 kinds of schedulers (pushed and asked lists, with and without operators' address) through refused calls, calls that hang, spoilt answers, silent watches, and a move to an agent that garbles for 1 s; a worker drains and one joins in the middle. From 6 s after discovery could be reached the drained one may get no first byte and the new one has to be used.

--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -54,7 +54,9 @@
         self.following = not config.settings.must_ask
         self.stopped = False  # by the module's word
         self.told = False  # whether the agent has said anything since the start
-        self._first_whole = config.admin is not None  # readiness waits for it: a watch may have nothing to say
+        # Whether the whole list is owed, up to one that can be read.  First where readiness waits for it: a watch
+        # may have nothing to say.
+        self._whole = config.admin is not None
         self._asked: asyncio.Queue[str] = asyncio.Queue(8)
         self._wire: Connection | None = None
         self._moved = asyncio.Event()
@@ -93,23 +95,21 @@
     async def run(self) -> None:
         """Watch for ever; a failure is told, waited out and never ends the actor."""
         pause = AGAIN_S
-        whole = self._first_whole
         try:
             while True:
-                while not self._asked.empty() or not (self.following or whole):
+                while not self._asked.empty() or not (self.following or self._whole):
                     what = await self._next_asked()
-                    whole = whole or what == "fetch"
+                    self._whole = self._whole or what == "fetch"
                     self.following = what == "follow" if what != "fetch" else self.following
                     self.stopped = what == "stop" if what != "fetch" else self.stopped
                 if self._moved.is_set():
                     # The new agent may count its versions anew: it is asked for the whole list first.
                     self._moved.clear()
                     self._drop()
-                    pause, whole = AGAIN_S, True
+                    pause, self._whole = AGAIN_S, True
                 try:
-                    await self._unless_moved(self._paced_call(whole))
-                    if not self._moved.is_set():
-                        pause, whole = AGAIN_S, False
+                    await self._unless_moved(self._paced_call(self._whole))
+                    pause = AGAIN_S
                 except (ConnectionLostError, NeverWrittenError, TimeoutError, h11.ProtocolError) as error:
                     self._drop()
                     self.counters.log("lists.failed", repr(error))
@@ -185,6 +185,7 @@
             return True
         self.version = found.version
         self.told = True
+        self._whole = self._whole and not whole
         if entries or found.full:
             kind = ListKind.FULL if found.full else ListKind.CHANGES
             await self.core.post(lambda: self.core.listed(SOURCE, kind, entries))
