Outbound: a socket is given back once it is closed, and room is made for the last ones

Observed: 700 workers, 200 jobs begun at the same moment again and again, a crowd of 1,400 idle clients, limits.sockets 640: the process held 673 and 655 descriptors (two trials, counted at each socket's opening under a limit of 2,000); under a limit of 640 accept failed once with EMFILE. Cause: Pool.drop gave the socket back as it told the connection to close, but the loop closes the descriptor in its next round. All jobs of one round took what make_room had just given back, while both were open. Ruled out: the clients' part (320, held exactly), operators (20), discovery (1). Also wrong: make_room added 1e-6 to a time of Unix ms, which is the same float; with fewer than four idle connections it closed none, and a call failed as out of sockets beside idle ones. Change: drop gives back after the close has been carried out; make_room waits for that. The test of a burst fails without either part (21 of 20; out of sockets).

--- a/gaphub/net/http/pool.py
+++ b/gaphub/net/http/pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Iterable
 
 from ...config import Address
@@ -32,8 +33,8 @@
             if connection.usable and connection.idle_since >= self.owner.clock.now() - self.owner.idle_ms:
                 return connection
             self.drop(connection)
-        if self.owner.sockets <= 0:
-            self.owner.make_room()
+        while self.owner.sockets <= 0 and await self.owner.make_room():
+            pass
         if self.owner.sockets <= 0:
             raise ConnectionLostError("out of sockets")
         self.owner.sockets -= 1
@@ -54,9 +55,10 @@
             self.drop(connection)
 
     def drop(self, connection: Connection) -> None:
-        """Close a connection."""
+        """Close a connection; its descriptor is free once the loop has done what the close left to it."""
         connection.close()
-        self.owner.sockets += 1
+        self.owner.closing += 1
+        asyncio.get_running_loop().call_soon(self.owner.closed)
 
     def close_idle(self, before: float = 1e18) -> None:
         """Close what has been idle since before a time, and what the other side closed."""
@@ -72,7 +74,8 @@
     def __init__(self, clock: Clock, counters: Counters, sockets: int, idle_ms: float, connect_s: float) -> None:
         self.clock = clock
         self.counters = counters
-        self.sockets = sockets
+        self.sockets = sockets  # that may be opened now
+        self.closing = 0  # that were told to close and still hold a descriptor
         self.idle_ms = idle_ms  # idle for so long, a connection is closed
         self.connect_s = connect_s
         self._pools: dict[Address, Pool] = {}
@@ -98,16 +101,24 @@
             await asyncio.sleep(tunables.REAP_S)
             self.close_idle(self.clock.now() - self.idle_ms)
 
-    def make_room(self) -> None:
+    def closed(self) -> None:
+        """A connection that was told to close holds no descriptor any longer."""
+        self.closing -= 1
+        self.sockets += 1
+
+    async def make_room(self) -> bool:
         """Close the idle connections that were used longest ago, a quarter: the sockets are needed elsewhere.
 
-        Guards against a fleet of more workers than sockets, where closing all of them made each second call a
-        handshake.
+        False if there are none.  Guards against a fleet of more workers than sockets, where closing all of them
+        made each second call a handshake, and against a burst that opened as many before one was really closed.
         """
-        since = sorted(w.idle_since for pool in self._pools.values() for w in pool.idle)
+        since = [] if self.closing else sorted(w.idle_since for pool in self._pools.values() for w in pool.idle)
         if since:
             before = since[len(since) // 4]
-            self.close_idle(before + 1e-6)
+            self.close_idle(math.nextafter(before, math.inf))
+        room = self.closing > 0
+        await asyncio.sleep(0)
+        return room
 
     def close_idle(self, before: float = 1e18) -> None:
         """Close what has been idle since before a time, and what the other side closed."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,8 +19,10 @@
 
 import pytest
 
+from gaphub.core import Clock
 from gaphub.lab.world import Workers
-from gaphub.net.http import OUTBOUND_PART
+from gaphub.metrics import Counters
+from gaphub.net.http import OUTBOUND_PART, Connection, Pool, Pools
 
 from .discovery import Discovery, Mood
 from .processes import ADMIN, Process, counters, job, running
@@ -188,3 +190,45 @@
         new.close()
 
     asyncio.run(play())
+
+
+def test_connections_that_a_burst_closes_are_closed_before_others_are_opened() -> None:
+    """All connections are idle, and as many jobs for other workers begin in the same moment."""
+    most = 20
+
+    async def play() -> list[int]:
+        workers = Workers(WORK_MS)
+        await workers.open(2 * most)
+        clock, counts = Clock(), Counters()
+        owner = Pools(clock, counts, most, 60_000.0, 5.0)
+        connections: list[Connection] = []
+        held: list[int] = []  # descriptors, as each connection begins
+
+        class Noted(Pool):
+            async def take(self, fresh: bool = False) -> Connection:
+                connections.append(await super().take(fresh))
+                return connections[-1]
+
+        async def connect(to: Any, within_s: float) -> Connection:
+            held.append(sum(w.writer.get_extra_info("socket").fileno() >= 0 for w in connections) + 1)
+            return await original(to, within_s)
+
+        original = Connection.connect
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Connection, "connect", connect)
+            pools = [Noted(to, owner) for to in workers.addresses]
+            owner._pools = dict(zip(workers.addresses, pools, strict=True))
+            for pool in pools[:most]:
+                connection = await pool.take()
+                connection.idle_since = clock.now()
+                pool.idle.append(connection)
+                await asyncio.sleep(0.002)  # one was used last
+            await asyncio.gather(*(pool.take() for pool in pools[most:]))
+        for connection in connections:
+            connection.close()
+        workers.close()
+        return held
+
+    held = asyncio.run(play())
+    assert len(held) == 2 * most  # each got one
+    assert max(held) <= most
