Where the Gearman front is on, its sessions take their descriptors from the clients' part

Cause: the parts of the fronts came to 692 of 640 descriptors with the Gearman front on (256 to workers, 320 clients, 96 sessions, 20 operators); it is off on the platform, where they come to 596. Change: the clients' part is smaller by the sessions'. The test of the parts fails without it (692).

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -26,7 +26,7 @@
 from .net import gearman
 from .net.destinations import DestinationSet
 from .net.gearman import Gearman
-from .net.http import Inbound, Outbound
+from .net.http import INBOUND_PART, Inbound, Outbound
 from .net.ops import Ops
 from .net.peers import Peers
 from .ops.retune import TAKEN
@@ -133,7 +133,9 @@
     if config.fronts.log.requests:
         core.trace = partial(counters.line, "request")
     outbound = Outbound(config, core, counters)
-    inbound = Inbound(config, core, counters)
+    # Sessions of the Gearman front take their descriptors from the clients' part.
+    part = 1.0 - gearman.SESSIONS_PART / INBOUND_PART if config.fronts.gearman.listen else 1.0
+    inbound = Inbound(config, core, counters, part=part)
     destinations = DestinationSet(config, core, counters)
     store = Store(config.settings.me, config.fronts.store.entries_most)
     peers = Peers(config, core, counters, store)
@@ -150,9 +152,9 @@
         gearmen.fence = address.fence if config.fronts.address.gearman else None
         if config.fronts.address.service:
             # The clients' part of the sockets is shared by the two listeners.
-            inbound = Inbound(config, core, counters, part=0.5)
+            inbound = Inbound(config, core, counters, part=0.5 * part)
             moving = Inbound(config, core, counters, parse_address(config.fronts.address.listen,
-                                                                   "address.listen"), address.fence, 0.5)
+                                                                   "address.listen"), address.fence, 0.5 * part)
             # An id that is open at one of them is refused at the other.
             moving.handler.open_ids = inbound.handler.open_ids
     admin = Admin(config.fronts.admin, counters, {"status": lambda: {
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -22,13 +22,16 @@
 from gaphub.core import Clock
 from gaphub.lab.world import Workers
 from gaphub.metrics import Counters
-from gaphub.net.http import OUTBOUND_PART, Connection, Pool, Pools
+from gaphub.net.gearman import Gearman
+from gaphub.net.http import OUTBOUND_PART, Connection, Inbound, Pool, Pools
+from gaphub.net.ops import Ops
 
 from .discovery import Discovery, Mood
 from .processes import ADMIN, Process, counters, job, running
-from .scenario import SETTINGS, free_port
+from .scenario import SETTINGS, Cast, free_port
 
 LIMIT = 640  # descriptors
+EVERY_PROCESS = 16  # descriptors: the standard ones, the loop's, the listeners, discovery, peers
 CROWD = 1_400  # connections that idle clients keep open, or try to
 OPENINGS = 20_000  # of theirs, at most
 BUSY_CLIENTS = 40  # more, each with one job after another
@@ -232,3 +235,32 @@
     held = asyncio.run(play())
     assert len(held) == 2 * most  # each got one
     assert max(held) <= most
+
+
+@pytest.mark.parametrize("fronts", ["", '[gearman]\nlisten = "127.0.0.1:PORT"\n'])
+def test_the_parts_of_all_fronts_together_stay_within_the_limit(fronts: str,
+                                                                 monkeypatch: pytest.MonkeyPatch) -> None:
+    parts: list[int] = []
+
+    def note(kind: type, attribute: str) -> None:
+        begin = kind.__init__  # type: ignore[misc]
+
+        def noted(self: Any, *args: Any, **more: Any) -> None:
+            begin(self, *args, **more)
+            parts.append(getattr(self, attribute))
+
+        monkeypatch.setattr(kind, "__init__", noted)
+
+    note(Inbound, "room")
+    note(Pools, "sockets")
+    note(Ops, "most")
+    if fronts:
+        note(Gearman, "most")
+
+    async def play() -> None:
+        async with Cast(admin=f"127.0.0.1:{free_port()}", fronts=fronts, limits={"sockets": LIMIT}):
+            pass
+
+    asyncio.run(play())
+    assert len(parts) == (4 if fronts else 3)
+    assert sum(parts) + EVERY_PROCESS <= LIMIT, parts
