--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,369 @@
+"""Several gaphub processes on loopback, with discovery, peers and workers that stamp what reaches them.
+
+Stamps are of the monotonic clock.  ``StampedLoop`` notes when its selector last came back: bytes that the next
+look finds have come after that, however late their callback runs.  So a slow test process makes an attempt look
+earlier, never later, than it was.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import selectors
+import shutil
+import socket
+import subprocess
+import tempfile
+import time
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from gaphub.config import Address
+from gaphub.lab.site import SETTINGS, start_gaphub
+from gaphub.lab.world import read_head
+
+READY_S = 15.0
+DEAF = 1  # the first of the UDP ports that stand for schedulers that are not heard
+
+
+class StampedSelector(selectors.EpollSelector):
+    """Notes when it came back, the last three times."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.at = [time.monotonic()] * 3
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        found = super().select(timeout)
+        self.at = [*self.at[1:], time.monotonic()]
+        return found
+
+
+class StampedLoop(asyncio.SelectorEventLoop):
+    """An event loop on a ``StampedSelector``."""
+
+    def __init__(self) -> None:
+        self.stamps = StampedSelector()
+        super().__init__(self.stamps)
+
+    @property
+    def earliest(self) -> float:
+        """When what the last look found may have come at the earliest."""
+        return self.stamps.at[1]
+
+    @property
+    def earliest_accepted(self) -> float:
+        """The same of a connection whose protocol is being made: it was accepted a turn ago."""
+        return self.stamps.at[0]
+
+
+def play(work: Coroutine[Any, Any, None], within_s: float) -> None:
+    """Run a test's coroutine on a stamped loop, bounded in time."""
+    with asyncio.Runner(loop_factory=StampedLoop) as runner:
+        runner.run(asyncio.wait_for(work, within_s))
+
+
+def stamped() -> StampedLoop:
+    """The running loop."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, StampedLoop)
+    return loop
+
+
+# --- workers -------------------------------------------------------------------------------------------
+
+
+@dataclass
+class Attempt:
+    """One attempt as it reached a worker; ``whole``: when its last byte was here, 0: never."""
+
+    ident: str
+    cls: str
+    first: float
+    whole: float = 0.0
+
+
+Behave = Callable[["Attempt", "Conversation"], None]
+
+
+class Conversation(asyncio.Protocol):
+    """One connection to a worker."""
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+        self.transport: asyncio.Transport | None = None
+        self.data = b""
+        # What a new connection brings may have come before it was accepted, though it is read some turns later.
+        self.first = self.accepted = stamped().earliest_accepted
+        self.heard = False
+        self.open: Attempt | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.worker.conversations.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.worker.conversations.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.data:
+            self.first = stamped().earliest if self.heard else self.accepted
+        self.heard = True
+        self.data += data
+        if self.open is None and b"\r\nX-Request-ID: " in self.data and b"\r\n\r\n" in self.data:
+            head = self.data.partition(b"\r\n\r\n")[0].decode("latin-1")
+            self.open = Attempt(_header(head, "X-Request-ID"), _header(head, "X-Priority-Class"), self.first)
+            self.worker.attempts.append(self.open)
+        if self.open is not None:
+            lines, _, body = self.data.partition(b"\r\n\r\n")
+            if len(body) >= int(_header(lines.decode("latin-1"), "Content-Length")):
+                attempt, self.open, self.data = self.open, None, b""
+                attempt.whole = stamped().earliest
+                self.worker.behave(attempt, self)
+
+    def say(self, status: str, body: bytes = b"", *headers: str) -> None:
+        """A whole answer."""
+        if self.transport is not None and not self.transport.is_closing():
+            lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+            self.transport.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    def line(self, attempt: Attempt, state: str) -> None:
+        """An answer of one line."""
+        self.say("200 OK", json.dumps({"id": attempt.ident, "state": state, "result": "r"}).encode() + b"\n")
+
+    def reset(self) -> None:
+        """RST."""
+        if self.transport is not None:
+            linger_zero(self.transport.get_extra_info("socket"))
+            self.transport.abort()
+
+
+def _header(head: str, name: str) -> str:
+    return head.partition(f"\r\n{name}: ")[2].partition("\r\n")[0]
+
+
+def linger_zero(sock: socket.socket) -> None:
+    """Have its close reset the connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+
+class Worker:
+    """A stand-in worker: ``behave`` is called with each attempt when it is whole."""
+
+    def __init__(self, behave: Behave) -> None:
+        self.behave = behave
+        self.attempts: list[Attempt] = []
+        self.address: Address = ("", 0)
+        self.conversations: set[Conversation] = set()
+        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._plugs: list[socket.socket] = []
+
+    async def open(self) -> None:
+        """Listen and accept."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Conversation(self), "127.0.0.1", 0, backlog=1024)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    async def open_plugged(self) -> None:
+        """Listen, but with a backlog that is full: connections come up only after ``unplug``."""
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.address = self._listener.getsockname()
+        for _ in range(4):
+            plug = socket.socket()
+            plug.setblocking(False)
+            plug.connect_ex(self.address)
+            self._plugs.append(plug)
+        await asyncio.sleep(0.05)
+
+    async def unplug(self) -> None:
+        """Accept from now on: who asked in vain is let in when the kernel asks again (after 1 s, then 2 s)."""
+        assert self._listener is not None
+        for plug in self._plugs:
+            plug.close()
+        self._listener.listen(1024)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Conversation(self), sock=self._listener, backlog=1024)
+
+    def stop(self) -> None:
+        """End as a killed process does: no listener, its connections reset."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for conversation in list(self.conversations):
+            conversation.reset()
+
+    def close(self) -> None:
+        """Give everything back."""
+        self.stop()
+        for plug in self._plugs:
+            plug.close()
+        if self._listener is not None:
+            self._listener.close()
+
+
+# --- discovery -----------------------------------------------------------------------------------------
+
+
+class Discovery:
+    """Discovery's agent: whole lists of settable entries; a watch is answered at once when they change."""
+
+    def __init__(self) -> None:
+        self.entries: list[dict[str, Any]] = []
+        self.version = 1
+        self.address: Address = ("", 0)
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def tell(self, entries: list[dict[str, Any]]) -> None:
+        """Another list from now on."""
+        self.entries = entries
+        self.version += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                first, _ = await read_head(reader)
+                same = f"index={self.version}&"
+                if same in first:
+                    try:
+                        async with asyncio.timeout(5.0):
+                            await self._changed.wait()
+                    except TimeoutError:
+                        pass
+                changed = same not in first or f"index={self.version}&" not in first
+                body = json.dumps({"version": self.version, "full": changed,
+                                   "servers": self.entries if changed else []}).encode()
+                writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+
+def entry(name: str, worker: Worker, started_ms: float = 0.0, zone: str = "a") -> dict[str, Any]:
+    """One line of the list."""
+    return {"id": name, "addr": "{}:{}".format(*worker.address), "zone": zone, "kind": "m", "cell": 0,
+            "state": "active", "weight": 1.0, "started_ms": started_ms}
+
+
+# --- schedulers ----------------------------------------------------------------------------------------
+
+
+def ports(count: int, kind: socket.SocketKind) -> list[int]:
+    """Free ports of loopback, all different."""
+    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    try:
+        for s in held:
+            s.bind(("127.0.0.1", 0))
+        return [s.getsockname()[1] for s in held]
+    finally:
+        for s in held:
+            s.close()
+
+
+@dataclass
+class Fleet:
+    """Schedulers of one site; ``changes`` are settings other than the lab's, by section.
+
+    ``hears``: whether one scheduler hears another; those that it does not have a
+    port of their own, which nobody sends from.
+    """
+
+    count: int
+    discovery: Discovery
+    changes: Mapping[str, Any]
+    hears: Callable[[int, int], bool] = lambda a, b: True
+    seed: int = 1
+    fronts: str = ""
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="gaphub-fleet-")))
+    processes: list[subprocess.Popen[bytes] | None] = field(default_factory=list)
+    addresses: list[Address] = field(default_factory=list)
+
+    async def open(self) -> None:
+        """Start all, and wait until all are ready."""
+        self.addresses = [("127.0.0.1", p) for p in ports(self.count, socket.SOCK_STREAM)]
+        peers = ports(self.count, socket.SOCK_DGRAM)
+        for n in range(self.count):
+            reached = [f"127.0.0.1:{p if self.hears(n, m) else DEAF + m}" for m, p in enumerate(peers)]
+            settings = {**SETTINGS, "me": n, "balancers": self.count}
+            for section, values in self.changes.items():
+                settings[section] = {**settings[section], **values} if isinstance(values, dict) else values
+            home = self.folder / f"n{n}"
+            home.mkdir()
+            (home / "fronts.toml").write_text(self.fronts)
+            (home / "config.json").write_text(json.dumps({
+                "name": f"n{n}", "listen": "{}:{}".format(*self.addresses[n]), "seed": f"{self.seed * 1000 + n:x}",
+                "peer_listen": f"127.0.0.1:{peers[n]}", "peers": reached, "limits": {"sockets": 4096},
+                "discovery": "{}:{}".format(*self.discovery.address),
+                "known": {"version": 0, "full": True, "servers": self.discovery.entries}, "settings": settings}))
+            self.processes.append(None)
+        await self.start(range(self.count))
+
+    async def start(self, numbers: Sequence[int]) -> None:
+        """Start some, and wait until they are ready."""
+        for n in numbers:
+            self.processes[n] = start_gaphub(self.folder / f"n{n}", f"n{n}", [])
+        ends = time.monotonic() + READY_S
+        for n in numbers:
+            while await self.ask(n, "/-/ready") is None:
+                if time.monotonic() > ends:
+                    raise TimeoutError((self.folder / f"n{n}" / "log").read_text()[-2000:])
+                await asyncio.sleep(0.02)
+
+    def kill(self, numbers: Sequence[int]) -> None:
+        """SIGKILL some, and wait for their end."""
+        for n in numbers:
+            process = self.processes[n]
+            if process is not None:
+                process.kill()
+                process.wait()
+                self.processes[n] = None
+
+    async def ask(self, number: int, target: str) -> Any:
+        """What one answers a GET; None if it does not answer 200."""
+        try:
+            async with asyncio.timeout(2.0):
+                reader, writer = await asyncio.open_connection(*self.addresses[number])
+                try:
+                    writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                    first, headers = await read_head(reader)
+                    body = await reader.readexactly(int(headers["content-length"]))
+                    return json.loads(body or b"{}") if " 200 " in first else None
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return None
+
+    async def counters(self) -> dict[str, int]:
+        """The sum of the counters of all."""
+        total: dict[str, int] = {}
+        for n in range(self.count):
+            for name, value in (await self.ask(n, "/-/counters") or {}).items():
+                if isinstance(value, int):
+                    total[name] = total.get(name, 0) + value
+        return total
+
+    def close(self) -> None:
+        """End all."""
+        self.kill(range(len(self.processes)))
+        shutil.rmtree(self.folder, ignore_errors=True)
+
