--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -293,14 +293,16 @@
     changes: Mapping[str, Any]
     hears: Callable[[int, int], bool] = lambda a, b: True
     seed: int = 1
-    fronts: str = ""
+    gearman: bool = False  # the Gearman front too, with the function ``work``
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="gaphub-fleet-")))
     processes: list[subprocess.Popen[bytes] | None] = field(default_factory=list)
     addresses: list[Address] = field(default_factory=list)
+    gearman_addresses: list[Address] = field(default_factory=list)
 
     async def open(self) -> None:
         """Start all, and wait until all are ready."""
         self.addresses = [("127.0.0.1", p) for p in ports(self.count, socket.SOCK_STREAM)]
+        self.gearman_addresses = [("127.0.0.1", p) for p in ports(self.count, socket.SOCK_STREAM)]
         peers = ports(self.count, socket.SOCK_DGRAM)
         for n in range(self.count):
             reached = [f"127.0.0.1:{p if self.hears(n, m) else DEAF + m}" for m, p in enumerate(peers)]
@@ -309,7 +311,9 @@
                 settings[section] = {**settings[section], **values} if isinstance(values, dict) else values
             home = self.folder / f"n{n}"
             home.mkdir()
-            (home / "fronts.toml").write_text(self.fronts)
+            listen = "{}:{}".format(*self.gearman_addresses[n]) if self.gearman else ""
+            (home / "fronts.toml").write_text(
+                f'[gearman]\nlisten = "{listen}"\n[gearman.functions]\nwork = "poloha"\n')
             (home / "config.json").write_text(json.dumps({
                 "name": f"n{n}", "listen": "{}:{}".format(*self.addresses[n]), "seed": f"{self.seed * 1000 + n:x}",
                 "peer_listen": f"127.0.0.1:{peers[n]}", "peers": reached, "limits": {"sockets": 4096},
--- a/tests/test_leaving_clients.py
+++ b/tests/test_leaving_clients.py
@@ -13,12 +13,14 @@
 import random
 import socket
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
 
 import pytest
 
 from gaphub.config import Address
+from gaphub.gearman import codec
+from gaphub.lab.gearman import request as packet
 
 from .fleet import Attempt, Conversation, Discovery, Fleet, Worker, entry, linger_zero, play, stamped
 
@@ -29,9 +31,9 @@
 WITHIN_S = 25.0
 
 
-def request(ident: str, more: str = "") -> bytes:
+def request(ident: str) -> bytes:
     return (f"POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Priority-Class: poloha\r\n"
-            f"X-Timeout: 5000m\r\nContent-Length: 8\r\n{more}\r\n").encode() + b"12345678"
+            f"X-Timeout: 5000m\r\nContent-Length: 8\r\n\r\n").encode() + b"12345678"
 
 
 @dataclass
@@ -39,13 +41,14 @@
     """One connection; the ids that were sent on it, and when it was left."""
 
     sock: socket.socket
+    encode: Callable[[str], bytes]
     idents: list[str] = field(default_factory=list)
     left_at: float = 0.0
 
     def send(self, *idents: str) -> None:
         """Requests, one right behind the other, in one piece."""
         self.idents += idents
-        self.sock.send(b"".join(map(request, idents)))
+        self.sock.send(b"".join(map(self.encode, idents)))
 
     def leave(self, way: str) -> None:
         """Close, reset, or end the sending."""
@@ -63,17 +66,17 @@
     """Schedulers, workers and the clients that were let in."""
 
     fleet: Fleet
-    workers: list[Worker]
+    workers: list[Worker | GearmanWorker]
     rng: random.Random
     clients: list[Client] = field(default_factory=list)
     serial: int = 0
 
-    async def enter(self, to: Address) -> Client:
+    async def enter(self, to: Address, encode: Callable[[str], bytes] = request) -> Client:
         """A new client, connected."""
         sock = socket.socket()
         sock.setblocking(False)
         await asyncio.get_running_loop().sock_connect(sock, to)
-        client = Client(sock)
+        client = Client(sock, encode)
         self.clients.append(client)
         return client
 
@@ -109,11 +112,12 @@
 
 
 @contextlib.asynccontextmanager
-async def stage(workers: list[Worker], limits: dict[str, object], plugged: bool = False) -> AsyncIterator[Stage]:
+async def stage(workers: list[Worker], limits: dict[str, object], plugged: bool = False,
+                gearman: bool = False) -> AsyncIterator[Stage]:
     """Schedulers that know the workers."""
     discovery = Discovery()
-    fleet = Fleet(SCHEDULERS, discovery, {"limits": limits})
-    found = Stage(fleet, workers, random.Random(7))
+    fleet = Fleet(SCHEDULERS, discovery, {"limits": limits}, gearman=gearman)
+    found = Stage(fleet, [*workers], random.Random(7))
     try:
         for worker in workers:
             await (worker.open_plugged() if plugged else worker.open())
@@ -262,3 +266,67 @@
             assert len(late := s.late()) <= ALLOWED, late
 
     play(work(), WITHIN_S)
+
+
+class GearmanWorker(asyncio.Protocol):
+    """A worker of the Gearman front, one job at a time; stamps each job as ``Worker`` does."""
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.transport: asyncio.Transport | None = None
+        self.data = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.write(packet(codec.CAN_DO, b"work") + packet(codec.GRAB_JOB))
+
+    def data_received(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.data += data
+        while len(self.data) >= codec.HEADER.size:
+            _, kind, size = codec.HEADER.unpack(self.data[:codec.HEADER.size])
+            if len(self.data) < codec.HEADER.size + size:
+                return
+            body, self.data = self.data[codec.HEADER.size:][:size], self.data[codec.HEADER.size + size:]
+            if kind == codec.JOB_ASSIGN:
+                handle, _, ident = body.split(b"\0")
+                self.attempts.append(Attempt(ident.decode(), "", stamped().earliest))
+                done = packet(codec.WORK_COMPLETE, handle, b"done") + packet(codec.GRAB_JOB)
+                stamped().call_later(0.01, self.transport.write, done)
+            elif kind == codec.NO_JOB:
+                self.transport.write(packet(codec.PRE_SLEEP))
+            elif kind == codec.NOOP:
+                self.transport.write(packet(codec.GRAB_JOB))
+
+
+def submit(ident: str) -> bytes:
+    """A job whose client waits for its end."""
+    return packet(codec.SUBMIT_JOB, b"work", b"", ident.encode())
+
+
+def test_who_leaves_the_gearman_front_is_not_sent_on() -> None:
+    async def work() -> None:
+        async with stage([], {}, gearman=True) as s:
+            for to in s.fleet.gearman_addresses:
+                for _ in range(4):
+                    _, crew = await stamped().create_connection(GearmanWorker, *to)
+                    s.workers.append(crew)
+            leavers: list[Client] = []
+            stayers: list[Client] = []
+            for to in s.fleet.gearman_addresses:
+                here = [await s.enter(to, submit) for _ in range(120)]
+                for n, client in enumerate(here):
+                    client.send(*(s.ident() for _ in range(1 + n % 3)))
+                    (leavers if n % 3 else stayers).append(client)
+                await asyncio.sleep(0.05)
+                for n, client in enumerate(here):
+                    if n % 3:
+                        client.leave(WAYS[n // 3 % 3])
+            await s.until(len(stayers), stayers, 1, 5.0)
+            waited = sum(len(c.idents) for c in leavers) - s.begun(leavers, 1)
+            assert waited > len(leavers), "the jobs of those who left had yet to begin"
+            assert s.begun(stayers, 1) == len(stayers), "who stayed is served"
+            assert len(late := s.late()) <= ALLOWED, late
+
+    play(work(), WITHIN_S)
