A part of the schedulers' counts lets them send a cold worker their part only

Cause: Ledger.complete() holds from 3 + others / 8 gateways on, so that each group took the sum over its own six for the sum over all, and let all of the cold worker's slots be out from each group. Ruled out: the allowance in tokens (it is divided by all schedulers, whoever is heard). Change: Balancer._cold_allows compares the sum with the slots times the part of the gateways that are heard. Where all are heard nothing changes. Not mended: for 3.5 s after a cut the silent ones still count as heard.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -677,9 +677,10 @@
         bears = n + 3.0 * n ** 0.5 + 3.0  # mean jobs in fall_ms, with what the rule adds for chance
         if cost > 0.5 * bears:
             return False
-        if self.occupancy.immediate and (slots := self._slots(w, now)) > 0.0:
-            # The sum over all gateways is known: it holds for them together, as the rule does.
-            return (out := self._out(w)) <= 0.0 or out + job.slots <= slots
+        if (slots := self._slots(w, now)) > 0.0 and (part := self.occupancy.heard_part) > 0.0:
+            # The sum over the gateways that are heard is known: it holds for them together, and they have their
+            # part of what the rule lets all of them send.  Others may be cut off, and send as well.
+            return (out := self._out(w)) <= 0.0 or out + job.slots <= slots * part
         if w.cold_at >= 0:
             more = (now - w.cold_at) * COLD_PART * bears / among
             w.cold_heavy = min(1.0, w.cold_heavy + more)
--- a/gaphub/occupancy/all_to_all.py
+++ b/gaphub/occupancy/all_to_all.py
@@ -20,8 +20,6 @@
 class AllToAll:
     """Each scheduler tells each other its counts: changes as they come, and a snapshot once in a while."""
 
-    immediate = True
-
     __slots__ = ("out", "complete", "_others", "_ledger", "_pacing", "_own", "_turn_at", "_wakeup")
 
     def __init__(self, now: float, others: int) -> None:
@@ -110,6 +108,11 @@
         """When each peer was last heard."""
         return self._ledger.heard_at
 
+    @property
+    def heard_part(self) -> float:
+        """The part of all schedulers that is heard, this one too."""
+        return self._ledger.heard_part
+
     def introduce(self, peer: int) -> Sequence[Outgoing]:
         """Tell one peer this scheduler's counts, and ask it for its own."""
         return [Outgoing(peer, data) for data in self._pacing.answer(SNAPSHOT_REQUEST, self._snapshot())]
--- a/gaphub/occupancy/exchange.py
+++ b/gaphub/occupancy/exchange.py
@@ -40,8 +40,6 @@
     The caller sends what a method returns, in its order, and then asks ``take_wakeup`` until it is None.
     """
 
-    immediate: bool  # whether a send of a peer's is in ``out`` at once, but for the time that its message takes
-
     def set_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int]) -> None:
         """Follow the list: the workers that it names, in its order, and this scheduler's slots out there.
 
@@ -70,12 +68,17 @@
     def out(self, worker: int) -> int:
         """The slots that the peers have out at a worker."""
 
+    @property
+    def heard_part(self) -> float:
+        """The part of all schedulers, this one too, whose slots out are known as they are now, 0 to 1.
+
+        0 where ``out`` is of an earlier moment: then it is no bound on what all send in an instant.
+        """
+
 
 class NoExchange:
     """No way at all: nothing is told and nothing known."""
 
-    immediate = True
-
     def set_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int]) -> None:
         """Ignored."""
 
@@ -107,3 +110,8 @@
     def out(self, worker: int) -> int:
         """Nothing is known."""
         return 0
+
+    @property
+    def heard_part(self) -> float:
+        """Nobody is heard."""
+        return 0.0
--- a/gaphub/occupancy/ledger.py
+++ b/gaphub/occupancy/ledger.py
@@ -19,7 +19,7 @@
 class Ledger:
     """What each peer has out at each worker, by wire id, as it last told; and the sums over the peers."""
 
-    __slots__ = ("counts", "total", "heard_at", "sequence", "_quorum", "_asked_at", "_complete")
+    __slots__ = ("counts", "total", "heard_at", "sequence", "_quorum", "_others", "_asked_at", "_complete")
 
     def __init__(self, others: int) -> None:
         """``others``: how many other schedulers there are."""
@@ -27,6 +27,7 @@
         self.total: dict[int, int] = {}  # by wire id: the sums over the peers; no zeros
         self.heard_at: dict[int, float] = {}  # by peer: when it was last heard
         self.sequence: dict[int, int] = {}  # by peer: the sequence number of its last message
+        self._others = others
         self._quorum = min(others, QUORUM_BASE + others // QUORUM_PEERS)
         self._asked_at = NEVER_MS  # when ``_complete`` was found: it is asked for each worker
         self._complete = False
@@ -98,6 +99,11 @@
             self._clear(self.counts.pop(sender))
         return len(self.heard_at) >= self._quorum
 
+    @property
+    def heard_part(self) -> float:
+        """The part of all schedulers whose counts are known, this one among them."""
+        return (1 + len(self.heard_at)) / (1 + self._others)
+
     def out(self, worker: int) -> int:
         """The slots that the peers have out at a worker."""
         return self.total.get(wire_id(worker), 0)
--- a/gaphub/occupancy/sized.py
+++ b/gaphub/occupancy/sized.py
@@ -36,7 +36,7 @@
     format.  Legacy peers are told all to all, they alone, and what they tell is added to the sums.
     """
 
-    __slots__ = ("out", "complete", "immediate", "_me", "_others", "_all", "_sharded", "_sharded_due", "_wakeup",
+    __slots__ = ("out", "complete", "_me", "_others", "_all", "_sharded", "_sharded_due", "_wakeup",
                  "_legacy", "_upgraded", "_lives")
 
     def __init__(self, now: float, me: int, others: int) -> None:
@@ -58,14 +58,12 @@
 
     def _use_all_to_all(self) -> None:
         self._sharded = None
-        self.immediate = True
         # Asked for each worker that is ranked: without a call in between.
         self.out = self._all.out
         self.complete = self._all.complete
 
     def _use_sharded(self, now: float) -> ShardedExchange:
         sharded = self._sharded = ShardedExchange(now, self._me, range(self._others + 1), epoch_at(now))
-        self.immediate = False
         self.out = self._sum
         self.complete = self._sums_known
         for peer, heard_at in self._all.heard_at.items():
@@ -173,7 +171,12 @@
             del among[peer]
             self._all.forget(peer)
 
-    # What is known in a large fleet
+    # What is known
+
+    @property
+    def heard_part(self) -> float:
+        """The part of all schedulers that is heard all to all; 0 in a large fleet, where sums are seconds old."""
+        return 0.0 if self._sharded is not None else self._all.heard_part
 
     def _sum(self, worker: int) -> int:
         assert self._sharded is not None
