Tests of the cold budget on the moved messages

Names follow the move of the messages into gaphub/occupancy/; no assertion changed. test_cold_budget (one Balancer), test_occupancy, test_counts and test_policy pass.

--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -20,8 +20,8 @@
 import pytest
 
 from gaphub.config import Address
-from gaphub.counts import ALL, encode
 from gaphub.interface import ListKind
+from gaphub.occupancy.messages import Kind, encode
 
 from .fake import World
 from .fake import entry as listed
@@ -259,7 +259,7 @@
                   reports_in_answers=True, cold_from=START, cold_ms=WARM_MS)
     world.serve(world.request(), report=(12.0, 0.0))
     for sender in range(1, heard + 1):
-        world.b.on_peer(world.now, sender, encode(ALL, 0, []))
+        world.b.on_peer(world.now, sender, encode(Kind.SNAPSHOT, 0, []))
     world.b.on_workers(world.now, ListKind.FULL, [listed(1), listed(2, ready_at=world.now)])
     for _ in range(100):
         world.request()
