Lab requests: answer times by class, kind, age and key, in one pass over the logs

Request lines now tell the moment of the taking (at), the key, and of each call the worker's kind and its start. The command read the folder twice; it now merges the logs by the schedulers' clocks and takes each request once, with counts, histograms (hdrhistogram) and each worker's last keys in memory. A key counts as met where, over the calls of all schedulers in the order of their starts, the worker's process has run it (--kept N: among its last N keys).

The test of who left and was sent on later asks the same figures of the new table; none was eased. Lines of an earlier version are refused by name and line, not passed over.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -192,6 +192,7 @@
     status: Status | None = None
     begun: bool = False  # set by its port when it first works on it
     begun_at: float = 0.0  # when its first byte was about to leave, the last time; 0: never
+    started_at: float = 0.0  # when its worker told that it runs; 0: it never did
     to: Listed | None = None  # its destination as it was listed when it was sent
 
     @property
@@ -479,16 +480,21 @@
                 self.trace(self._story(job))
 
     def _story(self, job: Job) -> str:
-        """One request from its taking to its last outcome; times in ms since it was received."""
+        """One request from its taking, at Unix time ``at``, to its last outcome; other times in ms since then."""
+
+        def since(moment: float) -> str:
+            return f"{moment - job.received_at:.0f}" if moment else "-"
+
         calls = " ".join(
             f"call={c.destination.listed.name},{c.status.name.lower() if c.status else 'open'},"
             f"{c.sent_at - job.received_at:.0f}+{c.took_ms:.0f},"
             f"{max(0.0, c.sent_at - c.destination.listed.started_ms):.0f},"
-            f"{f'{c.begun_at - job.received_at:.0f}' if c.begun_at else '-'}" for c in job.calls)
+            f"{c.destination.listed.kind},{since(c.started_at)},{since(c.begun_at)}" for c in job.calls)
         left = job.left() if job.left is not None and not job.answered_ms else 0.0
-        calls = f"gone={left - job.received_at:.0f} {calls}" if left else calls
-        return (f"id={job.ident} class={job.class_index} slots={job.slots:g} left={job.left_ms:.0f} "
-                f"end={job.ending} after={job.answered_ms:.0f} {calls}").rstrip()
+        calls = f"gone={since(left)} {calls}" if left else calls
+        key = f"key={job.key:x} " if job.key else ""
+        return (f"id={job.ident} at={job.received_at:.0f} class={job.class_index} {key}slots={job.slots:g} "
+                f"left={job.left_ms:.0f} end={job.ending} after={job.answered_ms:.0f} {calls}").rstrip()
 
     def _harmless(self, job: Job) -> bool:
         """Whether trying the request again would do no harm."""
@@ -509,6 +515,7 @@
 
     def started(self, call: Call) -> None:
         """A worker began a call."""
+        call.started_at = self.clock.now()
         self.news(call, "started", ())
         self.balancer.on_started(self.clock.now(), call.job.number, call.index)
 
--- a/gaphub/lab/commands.py
+++ b/gaphub/lab/commands.py
@@ -19,6 +19,7 @@
 from . import gearman as gearman_load
 from . import recovery as coming_back
 from . import requests as stories
+from .answers import Answers
 from .clients import WORTH, Clients
 from .idle import measure
 from .site import Site, free_port
@@ -43,17 +44,28 @@
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 @click.option("--id", "ident", default="", help="Only this request, through every scheduler that took it.")
 @click.option("--young", default=9000.0, show_default=True, help="ms; a worker that has run for less is young.")
-def requests(folder: Path, ident: str, young: float) -> None:
-    """Where the requests in the logs of FOLDER ended, by class; needs log.requests."""
-    if ident:
-        for story in stories.read(folder):
-            if story.values.get("id") == ident:
-                click.echo(f"{story.scheduler}\t{story.at:g}\t{story.text}")
-        return
-    for row in stories.table(stories.read(folder), young):
-        click.echo("\t".join(row))
-    waiting, later = stories.left(stories.read(folder))
-    click.echo(f"left while waiting\t{waiting}\tsent on later\t{later}")
+@click.option("--kept", type=click.IntRange(0), default=0,
+              help="Keys that a worker is taken to keep, the last ones; 0: all since its start.")
+@click.option("--bucket", type=click.IntRange(1), default=100, show_default=True, help="ms; of the histogram.")
+def requests(folder: Path, ident: str, young: float, kept: int, bucket: int) -> None:
+    """Where the requests in the logs of FOLDER ended, by class, and how long they took; needs log.requests.
+
+    A key is met where, by the calls of all schedulers, its worker has run it since its start, and new elsewhere.
+    """
+    try:
+        if ident:
+            for story in stories.read(folder):
+                if story.values.get("id") == ident:
+                    click.echo(f"{story.scheduler}\t{story.at:g}\t{story.text}")
+            return
+        answers = Answers(young, kept).take_all(stories.read(folder))
+    except (OSError, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    for rows in (answers.ends(), answers.keys(), answers.times(), answers.shape(bucket)):
+        for row in rows:
+            click.echo("\t".join(row))
+        click.echo("")
+    click.echo(f"left while waiting\t{answers.waiting}\tsent on later\t{answers.later}")
 
 
 @click.command()
--- a/gaphub/lab/requests.py
+++ b/gaphub/lab/requests.py
@@ -1,19 +1,44 @@
-"""Owns the tables over a fleet's request lines: where the requests of each class ended, and one id's way.
+"""Owns the reading of a fleet's request lines, in the order in which the requests were done with.
 
 It reads lines that ``log.requests`` makes a daemon write, in the plain form, and nothing else of a log.
-It must never start anything or write to a log.
+It must never start anything or write to a log, nor hold more than one line of each log.
 """
 
 from __future__ import annotations
 
 import re
-from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
+from heapq import merge
 from pathlib import Path
 
 _LINE = re.compile(r"^(?:(\d+(?:\.\d+)?) )?gaphub: request: (.*)$")
 _PART = re.compile(r"(\w+)=(\S+)")
+RAN = frozenset(("ok", "error"))  # outcomes of calls that ran, also where workers tell no start
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One call of a request; times in ms since the request was received, -1 for what never happened."""
+
+    worker: str
+    outcome: str
+    sent: float
+    took: float
+    age: float  # of the worker's process when it was sent; 0: by the clocks it had not started
+    kind: int  # of the worker, by its number
+    started: float  # when the worker told that it runs
+    begun: float  # when its first byte left
+
+    @property
+    def ran(self) -> bool:
+        """Whether a worker is known to have run it."""
+        return self.started >= 0.0 or self.outcome in RAN
+
+    @property
+    def ended(self) -> float:
+        """When its outcome came."""
+        return self.sent + self.took
 
 
 @dataclass(slots=True)
@@ -23,60 +48,73 @@
     scheduler: str
     at: float  # s, when whoever kept the log took the line in; 0 if it holds no time
     values: dict[str, str]
-    calls: list[list[str]]  # worker, outcome, start+length in ms, age of the worker's process, first byte in ms
+    calls: list[Attempt]
     text: str
 
+    @property
+    def received(self) -> float:
+        """Unix time in ms at which it was received."""
+        return float(self.values.get("at", 0.0))
+
+    @property
+    def answered(self) -> float:
+        """When it was answered, in ms since it was received; 0 if never."""
+        return float(self.values.get("after", 0.0))
+
+    @property
+    def done(self) -> float:
+        """Unix time in ms at which nothing of it was out any more."""
+        return self.received + max([self.answered, *(c.ended for c in self.calls)])
+
+    @property
+    def served_by(self) -> Attempt | None:
+        """The call whose answer was the request's."""
+        return next((c for c in self.calls if c.outcome == "ok"), None) if self.end == "served" else None
+
+    @property
+    def end(self) -> str:
+        """Its final answer, and why behind a colon."""
+        return self.values.get("end", "")
+
     def cold(self, within_ms: float) -> bool:
         """Whether any of its calls went to a worker that had run for less than this."""
-        return any(0.0 < float(c[3]) < within_ms for c in self.calls)
+        return any(0.0 < c.age < within_ms for c in self.calls)
 
     def outcomes(self) -> str:
         """How its calls ended, in order; ``-`` where none was sent."""
-        return "+".join(c[1] for c in self.calls) or "-"
+        return "+".join(c.outcome for c in self.calls) or "-"
 
 
-def read(folder: Path) -> Iterator[Story]:
-    """Every request line of every ``*.log`` of a folder; OSError if it cannot be read."""
-    for path in sorted(folder.glob("*.log")):
-        with path.open(encoding="utf-8", errors="replace") as lines:
-            for line in lines:
-                match = _LINE.match(line.rstrip("\n"))
-                if match is None:
-                    continue
-                parts = _PART.findall(match[2])
-                yield Story(path.stem, float(match[1] or 0.0), dict(parts),
-                            [v.split(",") for k, v in parts if k == "call"], match[2])
+def _moment(text: str) -> float:
+    return -1.0 if text == "-" else float(text)
 
 
-LATER_MS = 300.0  # after its client left nothing of a request may begin from then on
+def _attempt(text: str) -> Attempt:
+    """A call as ``Core`` writes it; ValueError where another version did."""
+    worker, outcome, span, age, kind, started, begun = text.split(",")
+    sent, _, took = span.partition("+")
+    return Attempt(worker, outcome, float(sent), float(took), float(age), int(kind),
+                   _moment(started), _moment(begun))
 
 
-def left(stories: Iterable[Story]) -> tuple[int, int]:
-    """How many requests' clients left while they waited, and for how many of these a call began too late."""
-    waiting = later = 0
-    for s in stories:
-        if "gone" in s.values:
-            waiting += 1
-            allowed = float(s.values["gone"]) + LATER_MS
-            later += any(len(c) > 4 and c[4] != "-" and float(c[4]) >= allowed for c in s.calls)
-    return waiting, later
+def read_one(path: Path) -> Iterator[Story]:
+    """Every request line of one log; OSError if it cannot be read, ValueError if another version wrote it."""
+    with path.open(encoding="utf-8", errors="replace") as lines:
+        for number, line in enumerate(lines, 1):
+            match = _LINE.match(line.rstrip("\n"))
+            if match is None:
+                continue
+            parts = _PART.findall(match[2])
+            try:
+                calls = [_attempt(text) for name, text in parts if name == "call"]
+            except ValueError:
+                raise ValueError(f"{path}:{number}: a call that another version wrote") from None
+            yield Story(path.stem, float(match[1] or 0.0), dict(parts), calls, match[2])
 
 
-def table(stories: Iterable[Story], young_ms: float) -> list[list[str]]:
-    """Rows of text: class, slots, end and why, the calls' outcomes, how many, their share, how many to the young.
+def read(folder: Path) -> Iterator[Story]:
+    """Every request line of every ``*.log`` of a folder, by the schedulers' clocks; errors as ``read_one``.
 
-    ``young_ms``: a worker that has run for less is young; a request counts that had a call to one.
+    All logs are open together.
     """
-    counts: Counter[tuple[str, str, str, str]] = Counter()
-    young: Counter[tuple[str, str, str, str]] = Counter()
-    whole: Counter[str] = Counter()
-    for s in stories:
-        v = s.values
-        row = v.get("class", ""), v.get("slots", ""), v.get("end", ""), s.outcomes()
-        counts[row] += 1
-        young[row] += s.cold(young_ms)
-        whole[v.get("class", "")] += 1
-    rows = [["class", "slots", "end", "calls", "requests", "share", "young"]]
-    for row, n in sorted(counts.items(), key=lambda item: (item[0][0], -item[1])):
-        rows.append([*row, str(n), f"{n / whole[row[0]]:.3f}", str(young[row])])
-    return rows
+    return merge(*(read_one(path) for path in sorted(folder.glob("*.log"))), key=lambda story: story.done)
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,142 @@
+"""The tables of ``gaphub lab requests``: one pass over all schedulers' logs, in the order of the work."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from gaphub.cli import gaphub
+from gaphub.lab import answers, requests
+from gaphub.lab.answers import Answers
+
+from .scenario import Cast
+
+BORN = 1_000_000  # when the workers of these lines started, as Unix time in ms
+
+
+def served(ident: str, received: int, key: str, worker: str = "w1", class_index: int = 0, took: int = 100,
+           born: int = BORN, started: int = 12, kind: int = 0) -> str:
+    """The line of a request that its first call served, the start told ``started`` ms after its taking."""
+    return (f"gaphub: request: id={ident} at={received} class={class_index} key={key} slots=1 left=5000 "
+            f"end=served after={took} call={worker},ok,1+{took - 1},{received + 1 - born},{kind},{started},2")
+
+
+def shown(folder: Path, *more: str) -> list[list[str]]:
+    """What the command prints, by line and cell."""
+    result = CliRunner().invoke(gaphub, ["lab", "requests", str(folder), *more])
+    assert result.exit_code == 0, result.output
+    return [line.split("\t") for line in result.output.splitlines()]
+
+
+def keys(folder: Path, *more: str) -> dict[str, str]:
+    """How many calls of class 0 met their keys, and how many did not."""
+    lines = shown(folder, *more)
+    at = lines.index(["class", "key", "calls", "share"])
+    return {line[1]: line[2] for line in lines[at + 1:lines.index([""], at)] if line[0] == "0"}
+
+
+def write(folder: Path, **logs: list[str]) -> None:
+    """Logs of schedulers."""
+    for name, lines in logs.items():
+        (folder / f"{name}.log").write_text("\n".join(["odd", *lines, ""]))
+
+
+def test_a_key_is_met_where_another_scheduler_had_it_run_before(tmp_path: Path) -> None:
+    write(tmp_path, n0=[served("b", 2_001_000, "7f"), served("c", 2_002_000, "7f", worker="w2")],
+          n1=[served("a", 2_000_000, "7f"), served("d", 2_003_000, "80")])
+    assert keys(tmp_path) == {"met": "1", "new": "3"}
+
+
+def test_the_order_is_that_of_the_starts_not_of_the_ends(tmp_path: Path) -> None:
+    # The long one starts first, and its scheduler tells of it last.
+    write(tmp_path, n0=[served("short", 2_000_500, "7f", took=100)],
+          n1=[served("long", 2_000_000, "7f", took=3_000)])
+    lines = shown(tmp_path, "--bucket", "1000")
+    at = lines.index(["class", "key", "from_ms", "served"])
+    assert lines[at + 1:lines.index([""], at)] == [["0", "met", "0", "1"], ["0", "new", "3000", "1"]]
+
+
+def test_a_restarted_worker_holds_nothing_and_a_clock_that_differs_is_no_restart(tmp_path: Path) -> None:
+    write(tmp_path, n0=[served("a", 2_000_000, "7f"), served("b", 2_010_000, "7f", born=2_005_000),
+                        served("c", 2_011_000, "7f", born=2_005_300)])
+    assert keys(tmp_path) == {"met": "1", "new": "2"}
+
+
+def test_a_worker_keeps_the_keys_that_it_ran_last(tmp_path: Path) -> None:
+    order = ["1", "2", "1", "3", "1", "2"]  # of two that it keeps, 3 pushes out 2, and 1 stays
+    write(tmp_path, n0=[served(f"r{i}", 2_000_000 + 1000 * i, key) for i, key in enumerate(order)])
+    assert keys(tmp_path, "--kept", "2") == {"met": "2", "new": "4"}
+    assert keys(tmp_path) == {"met": "3", "new": "3"}
+
+
+def test_what_a_worker_did_not_run_is_no_meeting(tmp_path: Path) -> None:
+    away = "call=w1,full,0+3,1000,0,-,1 call=w1,cancelled,4+9,1000,0,-,- call=w1,timeout,5+9,1000,0,-,6"
+    write(tmp_path, n0=[f"gaphub: request: id=a at=2000000 class=0 key=7f slots=1 left=5000 end=refused:tried "
+                        f"after=20 {away}", served("b", 2_001_000, "7f")])
+    assert keys(tmp_path) == {"new": "1"}
+
+
+def test_times_by_class_kind_age_and_key(tmp_path: Path) -> None:
+    write(tmp_path, n0=[served("a", 2_000_000, "7f", took=1_000, started=502),
+                        *[served(f"b{i}", 2_002_000 + 1000 * i, "7f", took=300) for i in range(99)],
+                        served("c", 2_500_000, "7f", worker="w2", kind=1, born=2_499_000, class_index=1)])
+    lines = shown(tmp_path)
+    at = next(i for i, line in enumerate(lines) if line[:2] == ["class", "kind"])
+    assert lines[at] == ["class", "kind", "worker", "key", "served", "p10", "p50", "p90", "p99",
+                         "byte_p50", "byte_p90", "start_p50", "start_p90", "run_p50", "run_p90"]
+    assert lines[at + 1:lines.index([""], at)] == [
+        ["0", "0", "old", "met", "99", *["300"] * 4, "2", "2", "10", "10", "288", "288"],
+        ["0", "0", "old", "new", "1", *["1000"] * 4, "2", "2", "500", "500", "498", "498"],
+        ["1", "1", "young", "new", "1", *["100"] * 4, "2", "2", "10", "10", "88", "88"]]
+
+
+def test_the_logs_are_read_once_and_little_is_held(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(answers, "HOLD_MS", 500.0)
+    write(tmp_path, n0=[served(f"r{i}", 2_000_000 + 1000 * i, "7f") for i in range(50)])
+    held = 0
+    begun: list[requests.Story] = []
+
+    def counted() -> Iterator[requests.Story]:
+        for story in requests.read(tmp_path):
+            begun.append(story)
+            yield story
+
+    for done, _ in enumerate(answers.in_order_of_start(counted())):
+        held = max(held, len(begun) - done)
+    assert len(begun) == 50 and held <= 3
+
+
+def test_one_request_and_what_another_version_wrote(tmp_path: Path) -> None:
+    write(tmp_path, n0=[served("a", 2_000_000, "7f")], n1=["1.5 " + served("b", 2_000_000, "7f")])
+    assert [line[:2] for line in shown(tmp_path, "--id", "b")] == [["n1", "1.5"]]
+    write(tmp_path, n2=["gaphub: request: id=c class=0 end=served after=9 call=w1,ok,1+8,1000,2"])
+    result = CliRunner().invoke(gaphub, ["lab", "requests", str(tmp_path)])
+    assert result.exit_code == 1 and "n2.log:2: a call that another version wrote" in result.output
+
+
+def test_a_schedulers_own_lines_tell_key_kind_and_start(tmp_path: Path) -> None:
+    lines: list[str] = []
+
+    async def run() -> None:
+        scheduler = Cast(fronts="[log]\nrequests = true\n")
+        scheduler.counters.line = lambda name, text: lines.append(f"1.5 gaphub: {name}: {text}\n")
+        async with scheduler as cast:
+            await cast.play("""
+                d expect index=41
+                c send job poloha r1 body Cookie:key=7f
+                w expect r1
+                w send lines r1 started done=one .
+                c expect 200
+            """)
+
+    asyncio.run(run())
+    (tmp_path / "n0.log").write_text("".join(lines))
+    (story,) = requests.read(tmp_path)
+    call = story.served_by
+    assert story.values["key"] == "7f" and call is not None and call.kind == 0
+    assert 0.0 <= call.begun <= call.started <= call.ended <= story.answered + 2.0  # each is rounded
+    assert Answers(9_000.0).take_all([story]).keys()[1:] == [["0", "new", "1", "1.000"]]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,7 @@
 
 from gaphub.core import Call, Core
 from gaphub.lab import requests
+from gaphub.lab.answers import Answers
 from gaphub.net import destinations, http
 from gaphub.net.gearman import Gearman
 
@@ -224,6 +225,12 @@
     asyncio.run(run())
 
 
+def left(folder: Path) -> tuple[int, int]:
+    """How many clients left while they waited, by the logs of a folder, and for how many a call began later."""
+    answers = Answers(young_ms=9_000.0).take_all(requests.read(folder))
+    return answers.waiting, answers.later
+
+
 # What a play's log counts: clients that left while their requests waited, and calls that began 0.3 s later.
 def test_the_log_counts_who_left_and_what_was_sent_on_later(tmp_path: Path) -> None:
     lines: list[str] = []
@@ -246,12 +253,12 @@
 
     asyncio.run(run())
     (tmp_path / "n0.log").write_text("".join(lines))
-    assert requests.left(requests.read(tmp_path)) == (1, 0)
+    assert left(tmp_path) == (1, 0)
     gone = next(line for line in lines if "id=r1 " in line)
     at = int(re.search(r"gone=(\d+)", gone)[1])  # type: ignore[index]
     for later, counted in ((299, 0), (300, 1)):
         (tmp_path / "n0.log").write_text(re.sub(r",(\d+)$", f",{at + later}", gone.strip()) + "\n")
-        assert requests.left(requests.read(tmp_path)) == (1, counted)
+        assert left(tmp_path) == (1, counted)
 
 
 # The port has been given the call, and its task has not taken its first step: its body never runs.
