--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -678,8 +678,8 @@
         if cost > 0.5 * bears:
             return False
         if (slots := self._slots(w, now)) > 0.0 and (part := self.occupancy.heard_part) > 0.0:
-            # The sum over the gateways that are heard is known: it holds for them together, and they have their
-            # part of what the rule lets all of them send.  Others may be cut off, and send as well.
+            # The sum over the gateways that are heard is known: it holds for them together, and they have
+            # their part of what the rule lets all of them send.  Others may be cut off, and send as well.
             return (out := self._out(w)) <= 0.0 or out + job.slots <= slots * part
         if w.cold_at >= 0:
             more = (now - w.cold_at) * COLD_PART * bears / among
