--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -42,13 +42,13 @@
 def cores(monkeypatch: pytest.MonkeyPatch) -> list[Core]:
     """The cores of the schedulers that a test starts."""
     found: list[Core] = []
-    run = Core.run
+    make = Core.__init__
 
-    async def noted(self: Core) -> None:
+    def noted(self: Core, *args: Any, **more: Any) -> None:
+        make(self, *args, **more)
         found.append(self)
-        await run(self)
 
-    monkeypatch.setattr(Core, "run", noted)
+    monkeypatch.setattr(Core, "__init__", noted)
     return found
 
 # --- a client leaves ---------------------------------------------------------------------------------
