Occupancy: a scheduler that dies while a suspect would own its workers is told to both

A count was reported to whoever took a dead member's workers over, but not to a suspect that comes between the two: when it came back it owned workers of which it had never been told, and its sums lacked these counts at a fresh age. Marking all suspects at each death was ruled out: only those that are new between the two need it.

--- a/gaphub/occupancy/sharded.py
+++ b/gaphub/occupancy/sharded.py
@@ -223,6 +223,11 @@
         peer = self._peers.get(member)
         return None if peer is None else peer.epoch
 
+    def heard_at(self, member: int) -> float:
+        """When a member last gave a sign of life in this format; long ago: it never did."""
+        peer = self._peers.get(member)
+        return NEVER if peer is None or peer.epoch is None else peer.heard_at
+
     def complete(self, now: float, others_heard: int = 0) -> bool:
         """Whether enough members are heard and most sums are within the age bound; found once a round.
 
@@ -446,10 +451,14 @@
                 self._aggregator.void(member)
 
     def _silent(self, member: int) -> None:
-        """A member is dead: tell those who take its workers over what is out there."""
-        for worker, _, after in self._assignment.down(member):
-            if after != self.me and (worker in self._counts or worker in self._peers[after].reports.told):
-                self._peers[after].reports.mark(worker)
+        """A member is dead: tell those who take its workers over, or would if they lived, what is out there."""
+        told_before = {worker: self._assignment.above(worker) for worker in self._assignment.shards[member]}
+        for worker, _, _ in self._assignment.down(member):
+            for target in self._targets(worker):
+                reports = self._peers[target].reports
+                if target != member and target not in told_before[worker] and (
+                        worker in self._counts or worker in reports.told):
+                    reports.mark(worker)
         self._views()
 
     def _returned(self, now: float, member: int) -> None:
