--- a/gaphub/occupancy/sized.py
+++ b/gaphub/occupancy/sized.py
@@ -18,6 +18,7 @@
 LARGE_FROM_WORKERS = 2_000  # listed; from so many on all to all costs more than a scheduler may spend
 SMALL_BELOW_WORKERS = 1_500  # lower, so that a fleet at the border does not change its way with each list
 LARGE_FROM_PEERS = 8  # others; fewer can bear all to all at any number of workers
+SPEAKS_ROUNDS = 2  # a peer that has sent a sign of life in the sharded format so lately speaks it
 EPOCH_MS = 100.0  # of process lives: none starts twice within this
 EPOCHS = 2**32 - 1
 
@@ -33,7 +34,9 @@
     """All to all while the list is short; sharded from ``LARGE_FROM_WORKERS`` workers on.
 
     In a large fleet a peer counts as *legacy* while it tells counts all to all and is not heard in the sharded
-    format.  Legacy peers are told all to all, they alone, and what they tell is added to the sums.
+    format.  Legacy peers are told all to all, they alone, and what they tell is added to the sums.  One that asks
+    for a snapshot has a new life, whatever its last one spoke: it is legacy until it is heard in the sharded
+    format.
     """
 
     __slots__ = ("out", "complete", "_me", "_others", "_all", "_sharded", "_sharded_due", "_wakeup",
@@ -111,12 +114,20 @@
         if sharded is None:
             return self._all.on_message(now, sender, data, capacities, random)
         if data[:1] == bytes((SUMS_VERSION,)):
+            before = sharded.heard_at(sender)
             sharded.on_message(now, sender, data, capacities, random)
+            if sharded.heard_at(sender) == before:
+                return NO_NEWS  # garbled, or overtaken: it may be of a life that is over
             return self._greet(now, sender, sharded, capacities, random)
         received = self._all.on_message(now, sender, data, capacities, random)
         message = decode(data)
-        if message is None or message.kind not in _COUNTS or sender in sharded.speaks():
+        if message is None or message.kind not in _COUNTS:
             return received
+        recent_ms = SPEAKS_ROUNDS * sharded.plan.round_ms
+        if message.kind is not Kind.SNAPSHOT_REQUEST and now - sharded.heard_at(sender) <= recent_ms:
+            if sender not in self._legacy:  # it took this one for legacy: the sums hold its counts, or soon will
+                self._upgraded[sender] = now + sharded.plan.age_bound_ms
+                return received
         first = sender not in self._legacy
         self._legacy[sender] = now
         self._upgraded.pop(sender, None)
