Counters tell which way occupancy is told and what was dropped of it

Drops of the sharded exchange were kept where nobody saw them, and a datagram that no format knows (a later version's) was dropped without a count. What begins as no known format counts as garbled.datagram. Counting at each drop through the Balancer was ruled out: more code in decisions. Not told apart: a message of the format all to all whose length is wrong is still dropped without a count.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -276,6 +276,7 @@
         self._destinations: dict[int, Destination] = {}
         self._able: dict[int, int] = {}  # what ``able`` counted, until the destinations change
         self.balancer = Balancer(clock.now(), settings, seed, self)
+        counters.sources["occupancy"] = self.balancer.occupancy.figures
 
     # -- the mailbox --
 
--- a/gaphub/metrics.py
+++ b/gaphub/metrics.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from .config import Address, Config, address
 
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         self.values: Counter[str] = Counter()
         self.line: Callable[[str, str], None] = _plain  # how a line is written; see ``logs``
+        self.sources: dict[str, Callable[[], Mapping[str, int]]] = {}  # counts that others keep, by prefix
         self._lines: dict[str, tuple[float, int]] = {}
 
     def add(self, name: str, by: int = 1) -> None:
@@ -49,7 +50,8 @@
 
     def snapshot(self) -> dict[str, int]:
         """All counts so far, sorted by name."""
-        return dict(sorted(self.values.items()))
+        kept = {f"{prefix}.{name}": n for prefix, source in self.sources.items() for name, n in source().items()}
+        return dict(sorted({**self.values, **kept}.items()))
 
 
 # --- Graphite: lines of "path value timestamp" over TCP -----------------------------------------------
--- a/gaphub/net/peers.py
+++ b/gaphub/net/peers.py
@@ -12,6 +12,7 @@
 from ..config import Address, Config
 from ..core import Core, Tasks
 from ..metrics import Counters
+from ..occupancy.choice import is_read
 from ..store import DATAGRAM, MAGIC, GarbledDatagramError, Store
 
 MAILBOX = 64  # datagrams of one peer that wait; more are dropped, as the network may drop any
@@ -66,6 +67,8 @@
                     self.serves_until = now + BEAT_TTL_MS * owner.pace * data[1]
                 elif data.startswith(MAGIC):
                     out = store.receive(self.number, data, now) if owner.replicates else []
+                elif not is_read(data):
+                    raise GarbledDatagramError("of no format that is known")
                 else:
                     out = []
                     await owner.core.post(
--- a/gaphub/occupancy/all_to_all.py
+++ b/gaphub/occupancy/all_to_all.py
@@ -103,6 +103,10 @@
     def _snapshot(self) -> list[tuple[int, float]]:
         return [(worker, slots) for worker, slots in self._own.items() if slots > 0]
 
+    def figures(self) -> Mapping[str, int]:
+        """None: what the peers are told is in the counts of the socket."""
+        return {}
+
     @property
     def heard_at(self) -> Mapping[int, float]:
         """When each peer was last heard."""
--- a/gaphub/occupancy/choice.py
+++ b/gaphub/occupancy/choice.py
@@ -4,11 +4,18 @@
 
 from .all_to_all import AllToAll
 from .exchange import NoExchange, OccupancyExchange
-from .messages import DELTA_BYTES, MESSAGE_BYTES_MAX
+from .messages import DELTA_BYTES, FORMAT, MESSAGE_BYTES_MAX, Kind
 from .sized import LARGE_FROM_PEERS, SizedExchange
+from .sums_messages import VERSION as SUMS_VERSION
 
 PRICE_MAX = 0.02  # points of the goal that telling may cost
 CHANGES_PER_JOB = 2  # its send and its end
+FIRST_BYTES = frozenset((SUMS_VERSION, *(FORMAT | kind for kind in Kind)))
+
+
+def is_read(data: bytes) -> bool:
+    """Whether a datagram begins as one of an exchange does; others are of a version that is not known here."""
+    return data[:1] != b"" and data[0] in FIRST_BYTES
 
 
 def exchange_for(now: float, me: int, others: int, allowed: bool, price: float) -> OccupancyExchange:
--- a/gaphub/occupancy/exchange.py
+++ b/gaphub/occupancy/exchange.py
@@ -75,6 +75,9 @@
         0 where ``out`` is of an earlier moment: then it is no bound on what all send in an instant.
         """
 
+    def figures(self) -> Mapping[str, int]:
+        """What operators may want to know of the way that is used, by name."""
+
 
 class NoExchange:
     """No way at all: nothing is told and nothing known."""
@@ -115,3 +118,7 @@
     def heard_part(self) -> float:
         """Nobody is heard."""
         return 0.0
+
+    def figures(self) -> Mapping[str, int]:
+        """None."""
+        return {}
--- a/gaphub/occupancy/sharded.py
+++ b/gaphub/occupancy/sharded.py
@@ -246,6 +246,14 @@
         """Entries of reports that were dropped, as their workers were not listed."""
         return self._aggregator.refused
 
+    def figures(self) -> Counter[str]:
+        """What was sent and dropped so far."""
+        figures = Counter({f"dropped.{drop.name.lower()}": self.dropped[drop] for drop in Drop})
+        figures["dropped.refused"] = self.refused_reports()
+        figures["sent"] = self.sent_datagrams
+        figures["sent_bytes"] = self.sent_bytes
+        return figures
+
     def _enough(self, now: float, others_heard: int) -> bool:
         others = len(self._peers)
         if len(self.speaks()) + others_heard < min(others, ENOUGH + others // ENOUGH_PART):
--- a/gaphub/occupancy/sized.py
+++ b/gaphub/occupancy/sized.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 from .all_to_all import AllToAll
@@ -39,8 +40,8 @@
     format.
     """
 
-    __slots__ = ("out", "complete", "_me", "_others", "_all", "_sharded", "_sharded_due", "_wakeup",
-                 "_legacy", "_upgraded", "_lives")
+    __slots__ = ("out", "complete", "_me", "_others", "_all", "_sharded", "_sharded_due", "_wakeup", "_legacy",
+                 "_upgraded", "_lives", "_former")
 
     def __init__(self, now: float, me: int, others: int) -> None:
         """``me``: this scheduler's number among ``others`` + 1; ``now``: its start."""
@@ -52,6 +53,7 @@
         self._legacy: dict[int, float] = {}  # by peer: when it last told counts all to all
         self._upgraded: dict[int, float] = {}  # by peer once legacy: until when its last counts all to all stand
         self._lives: dict[int, int] = {}  # by peer: the epoch of the life that was last heard
+        self._former: Counter[str] = Counter()  # the figures of sharded ways that are used no more
         self._use_all_to_all()
 
     @property
@@ -60,6 +62,8 @@
         return self._sharded
 
     def _use_all_to_all(self) -> None:
+        if self._sharded is not None:
+            self._former += self._sharded.figures()
         self._sharded = None
         # Asked for each worker that is ranked: without a call in between.
         self.out = self._all.out
@@ -193,6 +197,13 @@
         assert self._sharded is not None
         return self._sharded.out(worker) + self._all.out(worker)
 
+    def figures(self) -> Mapping[str, int]:
+        """What was sent and dropped in the sharded format; ``sharded``: 1 in a large fleet."""
+        sharded = self._sharded
+        figures = self._former + sharded.figures() if sharded is not None else self._former
+        return {**figures, "sharded": int(sharded is not None),
+                "legacy": len(self._legacy) if sharded is not None else 0}
+
     def _sums_known(self, now: float) -> bool:
         assert self._sharded is not None
         return self._sharded.complete(now, len(self._legacy))
--- a/tests/test_occupancy_sized.py
+++ b/tests/test_occupancy_sized.py
@@ -11,6 +11,7 @@
 from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
+from gaphub.metrics import Counters
 from gaphub.occupancy import sized
 from gaphub.occupancy.all_to_all import AllToAll
 from gaphub.occupancy.exchange import ALL_PEERS, CAPACITY_ANSWERS, Outgoing
@@ -221,7 +222,7 @@
         for worker in range(8):
             assert ways[0].out(worker) == ways[1].out(worker)
         assert ways[0].complete(now) == ways[1].complete(now)
-        assert ways[1].immediate is ways[0].immediate is True
+        assert ways[1].heard_part == ways[0].heard_part > 0.0
 
 
 def test_the_borders_are_as_documented_and_wide_enough_to_stay_on_one_side() -> None:
@@ -230,7 +231,7 @@
     for workers, large in ((LARGE - 1, False), (LARGE, True), (SMALL, True), (SMALL - 1, False), (SMALL, False),
                            (LARGE - 1, False), (LARGE, True)):
         exchange.set_workers(1e9, dict.fromkeys(range(workers), 0.0), {})
-        assert (exchange.sharded is not None) is large is (not exchange.immediate)
+        assert (exchange.sharded is not None) is large is (exchange.heard_part == 0.0)
 
 
 # Across the border
@@ -489,3 +490,22 @@
     fleet.run(8_000.0)
     assert {m: fleet.known(m) for m in fleet.members} == before
     assert epoch_at(fleet.now) > sharded.epoch >= 1
+
+
+def test_operators_see_which_way_is_used_and_what_it_dropped() -> None:
+    fleet = Fleet(10, 9, SMALL - 1, old=[8])
+    exchange = fleet.exchanges[0]
+    assert exchange.figures() == {"sharded": 0, "legacy": 0}
+    fleet.lists(LARGE)
+    fleet.run(8_000.0)
+    figures = exchange.figures()
+    sent = [len(data) for sender, _, data in fleet.sent if sender == 0 and data[0] == VERSION]
+    assert figures == {"sharded": 1, "legacy": 1, "sent": len(sent), "sent_bytes": sum(sent)}
+    fleet.hear(0, 1, bytes([VERSION]))
+    assert exchange.figures() == {**figures, "dropped.unreadable": 1}
+    fleet.lists(SMALL - 1)
+    assert exchange.figures() == {**figures, "dropped.unreadable": 1, "sharded": 0, "legacy": 0}
+    counters = Counters()
+    counters.add("calls.sent")
+    counters.sources["occupancy"] = exchange.figures
+    assert counters.snapshot() == {"calls.sent": 1, **{f"occupancy.{k}": n for k, n in exchange.figures().items()}}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -108,3 +108,19 @@
                 assert (MAGIC[0] in heard) == bool(listen)
 
     asyncio.run(run())
+
+
+def test_a_datagram_of_a_version_that_is_not_known_is_counted() -> None:
+    async def run() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.1", 0))
+            me, other = ("127.0.0.1", free_port()), f"127.0.0.1:{peer.getsockname()[1]}"
+            async with Cast(fronts=FRONTS, peer_listen=f"{me[0]}:{me[1]}", peers=[f"{me[0]}:{me[1]}", other],
+                            settings={"balancers": 2, "me": 0,
+                                      "limits": {**SETTINGS["limits"], "peerMessages": True}}) as cast:
+                for data in (b"\xd0\x00", b"\xd3\x00", b"\xe1", b"\xd4\x00", b"\xe2\x00", b"\xff", b""):
+                    peer.sendto(data, me)
+                await cast.play("count garbled.datagram 4\nc send job poloha r1\nw expect r1")
+                assert cast.counters.values["garbled.datagram"] == 4
+
+    asyncio.run(run())
