--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -29,6 +29,7 @@
 from .net.http import INBOUND_PART, Inbound, Outbound
 from .net.ops import Ops
 from .net.peers import Peers
+from .occupancy.status import occupancy_status
 from .ops.retune import TAKEN
 from .ops.shelf import Shelf
 from .store import Store
@@ -159,7 +160,9 @@
             moving.handler.open_ids = inbound.handler.open_ids
     admin = Admin(config.fronts.admin, counters, {"status": lambda: {
         **status(config, core, counters, address),
-        **({"gearman": gearmen.status()} if config.fronts.gearman.listen else {})}})
+        **({"gearman": gearmen.status()} if config.fronts.gearman.listen else {})},
+        "occupancy": lambda: occupancy_status(core.balancer.occupancy, core.clock.now(),
+                                              core.balancer.fleet.workers)})
     shelf = Shelf(os.environ.get("TMPDIR") if config.admin else None, core.outs, counters, core.moved_by_hand)
     shelf.look()  # before any list: who is out is not sent to for a moment
     ops = None if config.admin is None else ops_for(config.admin, config, core, counters, shelf, inbound,
--- a/gaphub/lab/scale/commands.py
+++ b/gaphub/lab/scale/commands.py
@@ -92,6 +92,9 @@
     went = sum(m.peer_out_bytes + m.list_out_bytes for m in point.schedulers)
     parts = [f"{100.0 * (spent - silent) / count / seconds:.1f} % of a core", f"{memory / count:.0f} MB",
              f"{came / count / seconds / 1e3:.1f} KB/s in", f"{went / count / seconds / 1e3:.1f} KB/s out"]
+    ages = [m.age_p99_ms for m in point.schedulers if m.age_p99_ms is not None]
+    if ages:
+        parts.append(f"age of sums p99 {max(ages) / 1e3:.1f} s")
     if (seen := point.in_force_ms) is not None:
         parts.append(f"{seen.kind} in force p99 {seen.p99:.0f} ms, worst {seen.worst:.0f}, missed {seen.missed} "
                      f"of {seen.count}")
--- a/gaphub/lab/scale/measures.py
+++ b/gaphub/lab/scale/measures.py
@@ -87,6 +87,13 @@
     return tuple(each.loop_lag_ms for each in point.schedulers if each.loop_lag_ms is not None)
 
 
+def _age(value: Callable[[Measured], float | None]) -> Callable[[Point], tuple[float, ...]]:
+    def values(point: Point) -> tuple[float, ...]:
+        ages = [value(each) for each in point.schedulers]
+        return tuple(age / MS_PER_S for age in ages if age is not None)
+    return values
+
+
 def _in_force(kind: str, value: Callable[[InForce], float]) -> Callable[[Point], tuple[float, ...]]:
     def values(point: Point) -> tuple[float, ...]:
         times = point.in_force_ms
@@ -119,6 +126,8 @@
     Measure("datagrams-in", "peers in", "datagrams/s", _each_per_s(lambda each: each.peer_in_datagrams)),
     Measure("datagrams-out", "peers out", "datagrams/s", _each_per_s(lambda each: each.peer_out_datagrams)),
     Measure("loop-lag", "lag of the event loop", "ms", _loop_lag),
+    Measure("age-p50", "age of sums, p50", "s", _age(lambda each: each.age_p50_ms)),
+    Measure("age-p99", "age of sums, p99", "s", _age(lambda each: each.age_p99_ms), plotted=True),
     _in_force_measure("list", "p50", lambda times: times.p50),
     _in_force_measure("list", "p99", lambda times: times.p99, plotted=True),
     _in_force_measure("list", "worst", lambda times: times.worst),
--- a/gaphub/lab/scale/points.py
+++ b/gaphub/lab/scale/points.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from enum import Enum
 from pathlib import Path
 
 import msgspec
@@ -19,6 +20,13 @@
     """A points file that cannot be read; the text names the file and the line."""
 
 
+class Told(Enum):
+    """How the schedulers of a point tell each other their occupancy."""
+
+    ALL_TO_ALL = "all to all"
+    SHARDED = "sharded"
+
+
 class Machine(Struct, frozen=True):
     """What the point was measured on."""
 
@@ -53,6 +61,8 @@
     list_out_bytes: int  # the calls to discovery, heads included
     requests: int  # served in the window
     loop_lag_ms: float | None = None
+    age_p50_ms: float | None = None  # of the sums believed, over the workers, at the end of the window
+    age_p99_ms: float | None = None
 
 
 class InForce(Struct, frozen=True):
@@ -82,6 +92,7 @@
     schedulers: list[Measured]
     baseline: list[Measured]  # the same processes with peers silent and no changes of the list, to subtract
     in_force_ms: InForce | None = None
+    way: Told = Told.ALL_TO_ALL
     baseline_seconds: float = 0.0  # of the baseline's window; 0: as ``seconds``
     failed: str = ""  # why the point could not be measured, or does not show the load that was planned
 
--- a/gaphub/lab/scale/scenario.py
+++ b/gaphub/lab/scale/scenario.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +15,8 @@
 from msgspec import Struct
 
 from ...config import MOST_LISTED
-from .points import Load
+from ...occupancy.sized import LARGE_FROM_PEERS, LARGE_FROM_WORKERS
+from .points import Load, Told
 
 REAL_MOST = 8  # scheduler processes
 HOLLOW_MOST = 4_000  # addresses that the hollow fleet binds, a descriptor each
@@ -31,6 +33,13 @@
     """A scenario that cannot be run; the text names the faulty key."""
 
 
+class Way(Enum):
+    """How schedulers are to tell each other their occupancy."""
+
+    BY_SIZE = "by size"  # as the daemon does by itself
+    ALL_TO_ALL = "all to all"  # at any size, to compare
+
+
 class Sweeps(Struct, frozen=True, forbid_unknown_fields=True):
     """The section ``[sweeps]``: the values of each swept key, the others staying as in ``[load]``."""
 
@@ -54,6 +63,7 @@
     seed: int = 1
     peer_price: float = 0.0  # of the settings; above 0 a large fleet does not tell at all
     requests_most_per_s: float = 20.0  # the client of a real scheduler sends its share of the starts up to this
+    way: Way = Way.BY_SIZE
     in_force_s: float = 4.0  # how long changes are made in the phase that watches them come into force
 
 
@@ -170,6 +180,12 @@
                 yield Planned(sweep, load, repeat)
 
 
+def told(way: Way, load: Load) -> Told:
+    """How the schedulers tell their occupancy at a load: by the daemon's own rule, unless it is overruled."""
+    large = load.workers >= LARGE_FROM_WORKERS and load.schedulers - 1 >= LARGE_FROM_PEERS
+    return Told.SHARDED if large and way is Way.BY_SIZE else Told.ALL_TO_ALL
+
+
 def memory_needed(scenario: Scenario, load: Load) -> int:
     """Bytes that all processes of a point need at the most, roughly."""
     real = PROCESS_BYTES + load.workers * WORKER_BYTES + load.tasks_running * PEER_BYTES
--- a/gaphub/lab/scale/series.py
+++ b/gaphub/lab/scale/series.py
@@ -9,7 +9,7 @@
 from .budget import Comparison, Target
 from .fit import Estimate, FitError, Line, fit_line
 from .measures import CONTROL_CPU, SWEPT, Measure, Swept, baseline_fault, measures_of, unusable
-from .points import Load, Point
+from .points import Load, Point, Told
 
 
 @dataclass(frozen=True)
@@ -62,7 +62,8 @@
     @property
     def name(self) -> str:
         """The name of the series in files."""
-        name = f"{self.sweep.scenario}-{self.sweep.swept.key}-{self.measure.key}"
+        way = "" if self.sweep.way is Told.ALL_TO_ALL else f"-{self.sweep.way.value}"
+        name = f"{self.sweep.scenario}{way}-{self.sweep.swept.key}-{self.measure.key}"
         return re.sub(r"[^a-z0-9]+", "-", name.lower()).strip("-")
 
     def missed(self) -> int:
@@ -91,16 +92,18 @@
 
 @dataclass
 class Sweep:
-    """The usable points of one scenario that vary one key of the load."""
+    """The usable points of one scenario and way of telling occupancy that vary one key of the load."""
 
     scenario: str
     swept: Swept
+    way: Told = Told.ALL_TO_ALL
     points: list[Sourced] = field(default_factory=list)
 
     @property
     def title(self) -> str:
         """The heading of the sweep."""
-        return f"{self.scenario}: {self.swept.title}"
+        way = "" if self.way is Told.ALL_TO_ALL else f", {self.way.value}"
+        return f"{self.scenario}{way}: {self.swept.title}"
 
     def x(self, point: Point) -> float:
         """The swept load of a point."""
@@ -139,19 +142,20 @@
 
 
 def sort_points(points: Iterable[Sourced]) -> Sorted:
-    """Sort the points into sweeps, by scenario and then in the order of the keys of the load."""
-    sweeps: dict[tuple[str, str], Sweep] = {}
+    """Sort the points into sweeps, by scenario and way, and then in the order of the keys of the load."""
+    sweeps: dict[tuple[str, str, Told], Sweep] = {}
     failed = []
     for each in points:
         reason = unusable(each.point)
         if reason:
             failed.append(Remark(each.source, each.point.load, f"{each.point.sweep}: {reason}"))
             continue
-        key = each.point.scenario, each.point.sweep
-        sweep = sweeps.setdefault(key, Sweep(each.point.scenario, SWEPT[each.point.sweep]))
+        key = each.point.scenario, each.point.sweep, each.point.way
+        sweep = sweeps.setdefault(key, Sweep(each.point.scenario, SWEPT[each.point.sweep], each.point.way))
         sweep.points.append(each)
     places = list(SWEPT)
-    order = sorted(sweeps.values(), key=lambda sweep: (sweep.scenario, places.index(sweep.swept.key)))
+    order = sorted(sweeps.values(),
+                   key=lambda sweep: (sweep.scenario, sweep.way.value, places.index(sweep.swept.key)))
     return Sorted(tuple(order), tuple(failed))
 
 
--- /dev/null
+++ b/gaphub/occupancy/status.py
@@ -0,0 +1,51 @@
+"""Owns what an operator is shown of an exchange: by which way it tells, whether it is complete, how old sums are.
+
+Pure.  It looks at each worker, so it is found only when it is asked for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+from math import inf
+
+from msgspec import Struct
+
+from .exchange import NoExchange, OccupancyExchange
+from .sized import SizedExchange
+
+
+class Way(Enum):
+    """How a scheduler tells its occupancy."""
+
+    NONE = "none"
+    ALL_TO_ALL = "all to all"
+    SHARDED = "sharded"
+
+
+class OccupancyStatus(Struct, frozen=True):
+    """What a scheduler knows of the others' occupancy; ages are of the sums, over the listed workers."""
+
+    way: Way
+    complete: bool
+    age_p50_ms: float | None = None  # None: no sums, or nothing is known of so many
+    age_p99_ms: float | None = None
+
+
+def occupancy_status(exchange: OccupancyExchange, now: float, workers: Iterable[int]) -> OccupancyStatus:
+    """The state of an exchange; ``workers``: the listed ones."""
+    if isinstance(exchange, NoExchange):
+        return OccupancyStatus(Way.NONE, False)
+    sharded = exchange.sharded if isinstance(exchange, SizedExchange) else None
+    if sharded is None:
+        return OccupancyStatus(Way.ALL_TO_ALL, exchange.complete(now))
+    ages = sorted(sharded.age(now, worker) for worker in workers)
+    return OccupancyStatus(Way.SHARDED, exchange.complete(now), _part(ages, 0.5), _part(ages, 0.99))
+
+
+def _part(ages: list[float], part: float) -> float | None:
+    """The age that so many are not above."""
+    if not ages:
+        return None
+    age = ages[min(len(ages) - 1, int(part * len(ages)))]
+    return age if age < inf else None
