--- a/gaphub/cli.py
+++ b/gaphub/cli.py
@@ -94,18 +94,35 @@
     return []
 
 
-@gaphub.command()
-@click.option("--socket", "path", envvar="GAPHUB_ADMIN", required=True, help="The daemon's admin socket.")
-@click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
-def status(path: str, as_json: bool) -> None:
-    """What a daemon or a witness says of itself: holder, term, members, lease left, routers, counters."""
+def _ask(path: str, what: str) -> dict[str, Any]:
+    """What a daemon answers at its admin socket; exits with 1 if it does not."""
     from .admin import ask
 
     try:
-        told = asyncio.run(ask(path, "status"))
+        return asyncio.run(ask(path, what))
     except (OSError, TimeoutError, msgspec.DecodeError) as error:
         click.echo(f"{path}: no answer: {error or type(error).__name__}", err=True)
         raise SystemExit(1) from None
+
+
+@gaphub.command()
+@click.option("--socket", "path", envvar="GAPHUB_ADMIN", required=True, help="The daemon's admin socket.")
+def occupancy(path: str) -> None:
+    """How a daemon and its peers tell each other their occupancy: the way, whether it is complete, how old."""
+    told = _ask(path, "occupancy")
+    parts = [told["way"], "complete" if told["complete"] else "not complete"]
+    for key, name in (("age_p50_ms", "half of the sums"), ("age_p99_ms", "99 in 100")):
+        if told[key] is not None:
+            parts.append(f"{name} not older than {told[key] / 1000.0:.1f} s")
+    click.echo(", ".join(parts))
+
+
+@gaphub.command()
+@click.option("--socket", "path", envvar="GAPHUB_ADMIN", required=True, help="The daemon's admin socket.")
+@click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
+def status(path: str, as_json: bool) -> None:
+    """What a daemon or a witness says of itself: holder, term, members, lease left, routers, counters."""
+    told = _ask(path, "status")
     click.echo(msgspec.json.encode(told).decode() if as_json else "\n".join(_lines(told)))
 
 
