Lists of changes cost work for what has changed, and a worker listed again stays known

By a profile each change built the names of all known workers, two tables of all workers for the exchange, and compared all slots. Ruled out: the watch itself (its bytes are few). Change: Core.listed looks up only what a list of changes names; the exchange is told of these alone (update_workers). Also mended: in the sharded way a worker that was unlisted with slots out and came back with a whole list was forgotten when those slots ended. What is left is in the decisions: pools and shares found anew after each list.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -735,18 +735,18 @@
         self._able.clear()
         entries = list({e.name: e for e in entries}.values())  # named twice: the last word counts
         named = {e.name for e in entries}
-        known = {name for s, name in self._numbers if s == source}
         changes = list(entries)
         if kind in (ListKind.FULL, ListKind.CACHED):
+            known = {name for s, name in self._numbers if s == source}
             changes += [Listed(n, "", WorkerState.GONE) for n in sorted(known - named)]
         for name in named:
             self._ever.pop(name, None)
             self._ever[name] = None
         while len(self._ever) > max(EVER_MOST, len(self._destinations)):
             del self._ever[next(iter(self._ever))]
-        told = [self._follow(source, e) for e in changes if e.state != WorkerState.GONE or e.name in known]
-        others = any(s != source for s, _ in self._numbers)
-        if kind in (ListKind.FULL, ListKind.CACHED) and others:
+        told = [self._follow(source, e) for e in changes
+                if e.state != WorkerState.GONE or (source, e.name) in self._numbers]
+        if kind in (ListKind.FULL, ListKind.CACHED) and any(s != source for s, _ in self._numbers):
             kind = ListKind.CHANGES  # the Balancer must not drop what other sources named
         if kind != ListKind.CHANGES:
             told = [t for t in told if t.state != WorkerState.GONE]
--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -493,9 +493,14 @@
                 self.list_wait = RETRY_LIST_MS
             for wid in self.fleet.apply(kind, entries, self.rng.random):
                 self._forget(wid)
-            workers = self.fleet.workers
-            self.occupancy.set_workers(now, {i: w.out for i, w in workers.items()},
-                                       {i: w.identity for i, w in workers.items()})
+            workers, change = self.fleet.workers, kind == ListKind.CHANGES
+            ids = [e.worker for e in entries if e.worker in workers] if change else list(workers)
+            slots_out, identities = {i: workers[i].out for i in ids}, {i: workers[i].identity for i in ids}
+            if change:  # of a long list only what has changed
+                gone = [e.worker for e in entries if e.worker not in workers]
+                self.occupancy.update_workers(now, slots_out, identities, gone)
+            else:
+                self.occupancy.set_workers(now, slots_out, identities)
             self._tell(())
             for e in entries:
                 if e.state == WorkerState.READY and now - e.ready_at_ms < self.set.cold_ms:
--- a/gaphub/occupancy/all_to_all.py
+++ b/gaphub/occupancy/all_to_all.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from .exchange import ALL_PEERS, CAPACITY_ANSWERS, NO_NEWS, NOTHING, Outgoing, Random, Received
 from .ledger import Ledger
@@ -38,6 +38,13 @@
         """Follow the list; of a worker that it does not name nothing is told but that nothing is out there."""
         self._own = dict(slots_out)
 
+    def update_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int],
+                       gone: Iterable[int]) -> None:
+        """Follow a list of changes."""
+        for worker in gone:
+            self._own.pop(worker, None)
+        self._own.update(slots_out)
+
     def changed(self, now: float, worker: int, slots_out: float, more: bool) -> Sequence[Outgoing]:
         """Tell a send at once, and with it what is held back; hold an end back, among many peers."""
         if worker in self._own:
@@ -107,6 +114,11 @@
         """None: what the peers are told is in the counts of the socket."""
         return {}
 
+    @property
+    def own(self) -> Mapping[int, float]:
+        """The slots that this scheduler has out at each listed worker."""
+        return self._own
+
     @property
     def heard_at(self) -> Mapping[int, float]:
         """When each peer was last heard."""
--- a/gaphub/occupancy/exchange.py
+++ b/gaphub/occupancy/exchange.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 ALL_PEERS = -1  # as the peer of a message: to each of them
@@ -46,6 +46,10 @@
         ``identities``: a number for each worker that is the same at every scheduler, whatever order lists had.
         """
 
+    def update_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int],
+                       gone: Iterable[int]) -> None:
+        """Follow a list of changes: the workers that it names, and of those the ones that are gone."""
+
     def changed(self, now: float, worker: int, slots_out: float, more: bool) -> Sequence[Outgoing]:
         """Note this scheduler's slots out at a worker, ``slots_out`` now; ``more``: they have grown."""
 
@@ -85,6 +89,10 @@
     def set_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int]) -> None:
         """Ignored."""
 
+    def update_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int],
+                       gone: Iterable[int]) -> None:
+        """Ignored."""
+
     def changed(self, now: float, worker: int, slots_out: float, more: bool) -> Sequence[Outgoing]:
         """Tell nothing."""
         return NOTHING
--- a/gaphub/occupancy/sharded.py
+++ b/gaphub/occupancy/sharded.py
@@ -118,12 +118,23 @@
         known = self._identities.numbers()
         for worker_id in known - slots_out.keys():
             self.unlisted(now, worker_id)
-        for worker_id in slots_out.keys() - known:
+        for worker_id in slots_out.keys() - (known - self._leaving):
             self.listed(now, worker_id, str(identities.get(worker_id, worker_id)))
         for worker_id, slots in slots_out.items():
             if slots != self._slots.get(worker_id, 0.0):
                 self.changed(now, worker_id, slots, False)
 
+    def update_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int],
+                       gone: Iterable[int]) -> None:
+        """Follow a list of changes."""
+        for worker_id in gone:
+            self.unlisted(now, worker_id)
+        for worker_id, slots in slots_out.items():
+            if worker_id not in self._identities or worker_id in self._leaving:
+                self.listed(now, worker_id, str(identities.get(worker_id, worker_id)))
+            if slots != self._slots.get(worker_id, 0.0):
+                self.changed(now, worker_id, slots, False)
+
     def announce_capacity(self, capacities: Mapping[int, float]) -> Sequence[Outgoing]:
         """Nothing: slots of kinds of workers are not told in this format."""
         return ()
@@ -207,6 +218,11 @@
             return 0
         return self._best(self._identities.id_of(worker_id)).others
 
+    @property
+    def heard_part(self) -> float:
+        """0: sums are of earlier moments."""
+        return 0.0
+
     def age(self, now: float, worker_id: int) -> float:
         """How old ``out`` is, in ms: it holds all that was out then and still is; inf: nothing is known."""
         if worker_id not in self._identities:
--- a/gaphub/occupancy/sized.py
+++ b/gaphub/occupancy/sized.py
@@ -41,7 +41,7 @@
     """
 
     __slots__ = ("out", "complete", "_me", "_others", "_all", "_sharded", "_sharded_due", "_wakeup", "_legacy",
-                 "_upgraded", "_lives", "_former")
+                 "_upgraded", "_lives", "_former", "_identities")
 
     def __init__(self, now: float, me: int, others: int) -> None:
         """``me``: this scheduler's number among ``others`` + 1; ``now``: its start."""
@@ -54,6 +54,7 @@
         self._upgraded: dict[int, float] = {}  # by peer once legacy: until when its last counts all to all stand
         self._lives: dict[int, int] = {}  # by peer: the epoch of the life that was last heard
         self._former: Counter[str] = Counter()  # the figures of sharded ways that are used no more
+        self._identities: dict[int, int] = {}  # of the listed workers
         self._use_all_to_all()
 
     @property
@@ -82,13 +83,34 @@
     def set_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int]) -> None:
         """Follow the list, and change the way where its length asks for it."""
         self._all.set_workers(now, slots_out, identities)
-        if self._sharded is None and len(slots_out) >= LARGE_FROM_WORKERS:
-            self._use_sharded(now)
-        elif self._sharded is not None and len(slots_out) < SMALL_BELOW_WORKERS:
-            self._use_all_to_all()
+        self._identities = dict(identities)
+        self._choose(now)
         if self._sharded is not None:
             self._sharded.set_workers(now, slots_out, identities)
 
+    def update_workers(self, now: float, slots_out: Mapping[int, float], identities: Mapping[int, int],
+                       gone: Iterable[int]) -> None:
+        """Follow a list of changes, and change the way where the list's length asks for it."""
+        gone = list(gone)
+        self._all.update_workers(now, slots_out, identities, gone)
+        for worker in gone:
+            self._identities.pop(worker, None)
+        self._identities.update(identities)
+        before = self._sharded
+        self._choose(now)
+        if self._sharded is not None and self._sharded is before:
+            self._sharded.update_workers(now, slots_out, identities, gone)
+        elif self._sharded is not None:
+            self._sharded.set_workers(now, self._all.own, self._identities)
+
+    def _choose(self, now: float) -> None:
+        """Change the way where the length of the list asks for it."""
+        workers = len(self._all.own)
+        if self._sharded is None and workers >= LARGE_FROM_WORKERS:
+            self._use_sharded(now)
+        elif self._sharded is not None and workers < SMALL_BELOW_WORKERS:
+            self._use_all_to_all()
+
     # Telling
 
     def changed(self, now: float, worker: int, slots_out: float, more: bool) -> Sequence[Outgoing]:
--- a/gaphub/occupancy/status.py
+++ b/gaphub/occupancy/status.py
@@ -6,11 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from enum import Enum
 from math import inf
 
-from msgspec import Struct
-
 from .exchange import NoExchange, OccupancyExchange
 from .sized import SizedExchange
 
@@ -23,7 +22,8 @@
     SHARDED = "sharded"
 
 
-class OccupancyStatus(Struct, frozen=True):
+@dataclass(frozen=True)
+class OccupancyStatus:
     """What a scheduler knows of the others' occupancy; ages are of the sums, over the listed workers."""
 
     way: Way
