--- a/gaphub/lab/scale/hollow_process.py
+++ b/gaphub/lab/scale/hollow_process.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import selectors
 import signal
@@ -132,6 +133,8 @@
     """Play the plan on standard input."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C is the runner's: it ends this process by its input
     sender = Sender(msgspec.json.decode(_first_line(), type=HollowPlan))
+    gc.freeze()  # a look at the millions of objects of a full fleet takes longer than a step may
+    gc.set_threshold(50_000, 50, 50)
     try:
         os.write(1, msgspec.json.encode(sender.count()) + b"\n")
         sender.run()
