Occupancy: whether sums are fresh is counted without a look-up for each worker

Of a real process among 200 schedulers and 11,000 workers, under a profiler, the count once a round took 106 ms each time, a seventh of all work of the process. The sums told are counted in one pass, and only the own shard is looked up.

--- a/gaphub/occupancy/sharded.py
+++ b/gaphub/occupancy/sharded.py
@@ -274,9 +274,10 @@
         others = len(self._peers)
         if len(self.speaks()) + others_heard < min(others, ENOUGH + others // ENOUGH_PART):
             return False
-        workers = list(self._assignment.owner)
         since = now - self.plan.age_bound_ms
-        return sum(self._best(w, now).as_of >= since for w in workers) >= FRESH_PART * len(workers)
+        told, shard = self._sums, self._assignment.shards[self.me]
+        aggregated = sum(told.get(w).as_of < since <= self._as_of(now, w) for w in shard)
+        return told.count_since(since) + aggregated >= FRESH_PART * len(self._assignment.owner)
 
     def _best(self, wire_id: int, now: float = inf) -> Sum:
         """The newest sum: what was told, or what is aggregated here."""
--- a/gaphub/occupancy/sums.py
+++ b/gaphub/occupancy/sums.py
@@ -52,6 +52,10 @@
         held = self._sums.get(wire_id)
         return NOTHING if held is None else Sum(*held)
 
+    def count_since(self, since: float) -> int:
+        """How many sums are not older."""
+        return sum(as_of >= since for _, as_of in self._sums.values())
+
     def forget(self, wire_id: int) -> None:
         """A worker is not listed any more."""
         self._sums.pop(wire_id, None)
