Tests: real processes through deaths, a split, a restart of all, and workers that fill up

Faults: one killed, one stopped and continued, halves cut for ten seconds and joined, a cold worker listed meanwhile, restart of all. Bytes stay within the budget at the return, no worker gets over three times its share then, the cold one no more than the rule allows all together, nothing runs twice that must not. Filling: jobs that outlast the test, and none begins at a worker that all have known to be full for 5 s. Filling failed once before, for a pause of the test's own clients that never ended. No mutations were played on these three.

--- a/tests/test_occupancy_processes.py
+++ b/tests/test_occupancy_processes.py
@@ -433,7 +433,6 @@
         site.network.told.clear()
         await site.within_budget(4.0)
         assert not site.network.told["counts"]  # but capacities no message tells all to all any more
-        print("FOUND", site.crowd.sent, site.crowd.endings, [w.peak for w in site.workers], site.network.told)
         site.check_workers(0.85)
 
     play(site, course, 60.0)
@@ -441,7 +440,7 @@
 
 def test_faults_of_schedulers_and_of_the_network() -> None:
     site = Site(2, workers=8, slots=4, work_s=0.25, rate=60.0)
-    cold = Worker(2, 0.1)
+    cold = Worker(4, 2.0)  # so little that one attempt of each scheduler would be too much
 
     async def course() -> None:
         await site.open()
@@ -458,16 +457,16 @@
         site.agent.list(site.workers, [cold])
         await asyncio.sleep(2.5)
         site.network.cut = lambda a, b: False
+        joined = time.monotonic()
         await site.within_budget(3.0)
-        print("PEAKS", [w.peak for w in site.workers], cold.peak, len(cold.began), most_of_budget(cold))
+        after = [sum(at > joined for at, _, _ in w.began) for w in site.workers]
+        assert max(after) <= 3.0 * sum(after) / len(after), after  # nobody is taken for empty by all who return
         site.kill(list(site.processes))
         await asyncio.sleep(0.2)
         await site.start(range(SCHEDULERS))
         await asyncio.sleep(3.0)
         counters = await site.counters()
         assert all(c["occupancy.sharded"] == 1 for c in counters.values())
-        print("FOUND", site.crowd.sent, site.crowd.endings, [w.peak for w in site.workers], cold.peak,
-              len(cold.began), most_of_budget(cold), counters[0])
         site.check_workers(0.6)
         assert cold.began
         assert most_of_budget(cold) <= 1.0
@@ -490,7 +489,7 @@
         await site.open()
         site.network.loss, site.network.doubled, site.network.delay_s = 0.05, 0.1, 0.15
         await asyncio.sleep(SILENT_S)  # sums are whole, and the slots of idle workers known
-        site.crowd.rate = 0.01
+        site.crowd.rate = 2.0
         await asyncio.sleep(1.0)
         began = time.monotonic()
         for worker in site.workers:
