--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of gaphub; README.md says what each part is.
-.PHONY: build demo test lint run sites
+.PHONY: build demo test lint run sites scale scale-report
 
 build:
 	cmp -s requirements.txt .venv/made || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/made)
@@ -20,6 +20,14 @@
 	.dev/bin/ruff check .
 	.dev/bin/mypy
 
+# A short scale run, under a minute; its points are appended to POINTS.
+POINTS ?= found/scale.jsonl
+scale: .dev/made
+	.dev/bin/python -m gaphub lab scale run deploy/scale/short.toml --out $(POINTS)
+
+scale-report: .dev/made
+	.dev/bin/python -m gaphub lab scale report $(POINTS) --out found/scale
+
 run: build
 	exec .venv/bin/python -m gaphub
 
