Scale run: Ctrl-C ends it also where the shell has SIGINT ignored

Cause: Python leaves an ignored SIGINT as it is, and the run had a handler of its own for SIGTERM only. Change: one for both. With SIGINT ignored in the parent the tests fail before and pass after; they pass without, too.

--- a/gaphub/lab/scale/runner.py
+++ b/gaphub/lab/scale/runner.py
@@ -52,6 +52,7 @@
 POINT_MOST_S = 90.0  # beside its windows: a point that takes longer has failed
 SILENT_WARM_UP_MOST_S = 3.0  # of the baseline: no sums have to gather in it
 MEMORY_PART = 0.5  # of the machine
+ENDING = (signal.SIGTERM, signal.SIGINT)
 
 Tell = Callable[[Planned, Point | None], None]  # hears of each point before and after it is measured
 
@@ -100,13 +101,14 @@
               ) -> list[Point]:
     """Measure every point of a scenario; each is appended to ``out`` at once.
 
-    SIGTERM ends it like Ctrl-C: every process is ended first.
+    SIGTERM and SIGINT end it alike, also where the shell has SIGINT ignored: every process is ended first.
     """
     check_machine(scenario)
     commit, dirty = checkout()
     task = asyncio.current_task()
     assert task is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    for ending in ENDING:
+        asyncio.get_running_loop().add_signal_handler(ending, task.cancel)
     points = []
     try:
         for number, planned in enumerate(plan(scenario)):
@@ -121,7 +123,8 @@
                 append_point(out, point)
             tell(planned, point)
     finally:
-        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
+        for ending in ENDING:
+            asyncio.get_running_loop().remove_signal_handler(ending)
     return points
 
 
