--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -81,12 +81,16 @@
 
 @dataclass
 class Attempt:
-    """One attempt as it reached a worker; ``whole``: when its last byte was here, 0: never."""
+    """One attempt as it reached a worker; ``whole``: when its last byte was here, 0: never.
+
+    ``told_ms``: what its ``X-Timeout`` says, in ms.
+    """
 
     ident: str
     cls: str
     first: float
     whole: float = 0.0
+    told_ms: float = 0.0
 
 
 Behave = Callable[["Attempt", "Conversation"], None]
@@ -119,7 +123,8 @@
         self.data += data
         if self.open is None and b"\r\nX-Request-ID: " in self.data and b"\r\n\r\n" in self.data:
             head = self.data.partition(b"\r\n\r\n")[0].decode("latin-1")
-            self.open = Attempt(_header(head, "X-Request-ID"), _header(head, "X-Priority-Class"), self.first)
+            self.open = Attempt(_header(head, "X-Request-ID"), _header(head, "X-Priority-Class"), self.first,
+                                told_ms=float(_header(head, "X-Timeout").rstrip("m") or 0.0))
             self.worker.attempts.append(self.open)
         if self.open is not None:
             lines, _, body = self.data.partition(b"\r\n\r\n")
--- /dev/null
+++ b/tests/test_shutdown_limits.py
@@ -0,0 +1,87 @@
+"""SIGTERM at the limits that the protocol page sets, on real processes: short deadlines, an early SIGKILL.
+
+SIGKILL comes at the earliest that the page allows: the longest deadline, counted as 3 s at most, and 0.7 s after
+SIGTERM.  Until then clients send on every connection that stays open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import signal
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from .discovery import Discovery
+from .fleet import Attempt, Conversation, Worker, play
+from .processes import Process, running
+from .scenario import SETTINGS, free_port
+
+DEADLINE_MS = 600.0  # of the only class, and so the longest
+KILL_S = DEADLINE_MS / 1e3 + 0.7
+CLASSES = [{"name": "poloha", "slo": 300.0, "deadline": DEADLINE_MS, "idempotency": "idempotent"}]
+WITHIN_S = 30.0
+
+
+def request(ident: str, timeout_ms: float = DEADLINE_MS) -> bytes:
+    """One whole request."""
+    return (f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\nX-Priority-Class: poloha\r\n"
+            f"X-Timeout: {timeout_ms:.0f}m\r\nContent-Length: 2\r\n\r\nab").encode()
+
+
+def statuses(answers: bytes) -> list[bytes]:
+    """The statuses of the answers in what came on a connection."""
+    return re.findall(rb"HTTP/1\.1 (\d+)", answers)
+
+
+class Site:
+    """One scheduler, one worker that answers each attempt after a while, and discovery."""
+
+    def __init__(self, folder: Path, work_s: float, **settings: Any) -> None:
+        self.folder = folder
+        self.worker = Worker(self._behave)
+        self.work_s = work_s
+        self.settings = {**SETTINGS, "grades": CLASSES, **settings}
+
+    def _behave(self, attempt: Attempt, conversation: Conversation) -> None:
+        asyncio.get_running_loop().call_later(self.work_s, conversation.line, attempt, "done")
+
+    async def play(self, course: Callable[[Process], Awaitable[None]]) -> None:
+        """Start all, and hand the scheduler to a course of events."""
+        discovery = Discovery()
+        await self.worker.open()
+        discovery.put("w", self.worker.address[1])
+        await discovery.listen()
+        one = Process(self.folder, free_port(), discovery, "one", settings=self.settings, admin="")
+        with running([one]):
+            try:
+                assert await one.took_to_ready() < 20.0
+                await course(one)
+            finally:
+                self.worker.close()
+                await discovery.refuse()
+
+
+async def until_closed(reader: asyncio.StreamReader) -> bytes:
+    """All that comes on a connection until it ends or is reset."""
+    got = bytearray()
+    with suppress(OSError):
+        while data := await reader.read(65536):
+            got += data
+    return bytes(got)
+
+
+# The first request's answer is the first after the scheduler has begun to close; the others were read meanwhile.
+def test_requests_sent_ahead_that_were_read_are_answered_before_a_leaving_scheduler_closes(tmp_path: Path) -> None:
+    async def course(one: Process) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", one.listen)
+        one.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        writer.write(b"".join(request(f"r{i}") for i in range(4)))
+        async with asyncio.timeout(KILL_S - 0.3):
+            got = await until_closed(reader)
+        assert len(statuses(got)) == 4, got
+
+    play(Site(tmp_path, 0.3).play(course), WITHIN_S)
