Leaving: an answer closes its connection only when nothing is read past it

Cause: after SIGTERM every answer said "Connection: close", also where requests sent ahead on that connection had been read by then; those went with the connection and were lost. Ruled out: the core (it was never offered them) and the closing of resting connections (`may_close` looks at what is unread).

Change: `ClientSession.has_read_ahead` is asked before an answer closes its connection; the last of what was read closes it.

--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -208,7 +208,7 @@
     async def _write(self, http: h11.Connection, session: ClientSession, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = (), flooded: bool = False) -> None:
         headers = [("Content-Length", str(len(body))), *extra]
-        if self.drain.leaving or flooded:
+        if flooded or (self.drain.leaving and not session.has_read_ahead(http)):
             headers.append(("Connection", "close"))
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         if body:
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -9,6 +9,8 @@
 import select
 from collections.abc import Callable
 
+import h11
+
 from . import tunables
 
 
@@ -75,6 +77,14 @@
         """Whether bytes have come to this process that its handler has yet to read."""
         return self.protocol.heard > self.taken
 
+    def has_read_ahead(self, http: h11.Connection) -> bool:
+        """Whether this process has read bytes past the present request.
+
+        Guards against requests that a client sent ahead and that went with their connection, read and unanswered,
+        because the answer before them closed it.
+        """
+        return bool(http.trailing_data[0]) or self.unread
+
     def left(self) -> float:
         """Since when the client is known to have closed its side or the connection to be lost; 0: it is there.
 
