Tests: the time of a request sent ahead counts while it waits behind another, red

Cause: "X-Timeout: counted from when the client sent the request". Of two requests sent at once the second's time was counted from the end of the first, 0.4 s later, and its worker was told 0.4 s too much.

The class of these tests has a deadline long enough that what is left after the stop is still worth an attempt; before, the policy refused one of them for another reason.

--- a/tests/test_deadline_told.py
+++ b/tests/test_deadline_told.py
@@ -15,11 +15,12 @@
 
 from .fleet import Attempt, play
 from .processes import Process
-from .test_shutdown_limits import Site, request
+from .test_shutdown_limits import Site, request, until_closed
 
 SLACK_MS = 150.0
 STOPPED_S = 0.4  # the scheduler's process is stopped for so long
-TIMEOUT_MS = 590.0
+TIMEOUT_MS = 3000.0
+PATIENT = [{"name": "poloha", "slo": 1500.0, "deadline": TIMEOUT_MS, "idempotency": "idempotent"}]
 WITHIN_S = 30.0
 
 
@@ -37,12 +38,12 @@
 
 @pytest.mark.parametrize("where", ["the socket", "the accept queue"])
 def test_time_that_a_request_lay_unread_while_the_process_stood_is_used_up(where: str, tmp_path: Path) -> None:
-    site = Site(tmp_path, 0.0)
+    site = Site(tmp_path, 0.0, grades=PATIENT)
 
     async def course(one: Process) -> None:
         if where == "the socket":
             _, writer = await asyncio.open_connection("127.0.0.1", one.listen)
-            writer.write(request("first"))
+            writer.write(request("first", TIMEOUT_MS))
             await attempts_of(site, 1)
         one.process.send_signal(signal.SIGSTOP)
         if where == "the accept queue":
@@ -57,3 +58,32 @@
         writer.close()
 
     play(site.play(course), WITHIN_S)
+
+
+def test_time_that_a_request_waited_behind_another_on_its_connection_is_used_up(tmp_path: Path) -> None:
+    site = Site(tmp_path, 0.4, grades=PATIENT)
+
+    async def course(one: Process) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", one.listen)
+        sent_at = time.monotonic()
+        writer.write(request("first", TIMEOUT_MS) + request("second", TIMEOUT_MS))
+        second = (await attempts_of(site, 2))[-1]
+        assert second.ident == "second"
+        assert told_over_ms(second, sent_at) <= SLACK_MS, second
+        writer.close()
+
+    play(site.play(course), WITHIN_S)
+
+
+def test_a_request_whose_time_passed_behind_another_is_refused_and_not_sent_on(tmp_path: Path) -> None:
+    site = Site(tmp_path, 0.4, grades=PATIENT)
+
+    async def course(one: Process) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", one.listen)
+        writer.write(request("first", TIMEOUT_MS) + request("second", 200.0))
+        one.process.send_signal(signal.SIGTERM)
+        got = await until_closed(reader)
+        assert b" 200 " in got and b" 503 " in got, got
+        assert [a.ident for a in site.worker.attempts] == ["first"]
+
+    play(site.play(course), WITHIN_S)
