Arrival: a client's time counts from when its bytes reached the machine, not from their reading

Cause: a request's time was counted from the moment at which its first byte was read, or for one sent ahead from the end of the request before it. What a request lay in the accept queue, in its socket or in this process was given to the client a second time and told to the worker. Ruled out: the core's clock (the figures fit the stop to some ms).

Change: `gaphub/net/arrival.py`. `ArrivalLog` keeps the moments by their place in the stream, for requests sent ahead. The times in which a request has to be whole still count from its turn. Way not taken: receive time stamps (SO_TIMESTAMPNS), which need recvmsg under the streams.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -24,6 +24,7 @@
 from .metrics import Counters, Sinks
 from .net import destinations as discovery
 from .net import gearman
+from .net.arrival import TimedLoop
 from .net.destinations import DestinationSet
 from .net.gearman import Gearman
 from .net.http import INBOUND_PART, Inbound, Outbound
@@ -248,7 +249,8 @@
         config = load(os.environ)
         gc.freeze()
         gc.set_threshold(50_000, 50, 50)
-        asyncio.run(run(config))
+        with asyncio.Runner(loop_factory=TimedLoop) as runner:
+            runner.run(run(config))
     except ConfigError as error:
         print(f"gaphub: configuration: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/gaphub/net/arrival.py
@@ -0,0 +1,93 @@
+"""When bytes that this process reads had reached its machine, which may be earlier than the moment of reading.
+
+A client's deadline counts from its sending.  While the process is busy or stopped, requests lie in the kernel's
+accept queue and socket buffers, and requests sent ahead lie in its own; that time is the client's.
+
+Sources: the kernel's ``tcp_info`` (milliseconds since a connection last received data), and where it has none the
+times at which the event loop's selector returned: what a selector finds without having waited may have come at any
+time since it returned before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import socket
+import struct
+import time
+from collections import deque
+
+TCP_INFO_SIZE = 104  # bytes; older kernels fill in fewer
+LAST_DATA_RECEIVED = 52  # where ``tcpi_last_data_recv`` stands in ``struct tcp_info``: 32 bits, ms
+SLEPT_S = 0.001  # a selector that took longer had to wait for what it found
+
+
+class TimedSelector(selectors.DefaultSelector):
+    """A selector that notes when it returned, the last two times, and whether it had to wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.returned = self.returned_before = time.monotonic()
+        self.slept = True
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """Wait for events; see ``selectors.BaseSelector.select``."""
+        began = time.monotonic()
+        found = super().select(timeout)
+        self.returned_before, self.returned = self.returned, time.monotonic()
+        self.slept = self.returned - began > SLEPT_S
+        return found
+
+    def may_have_waited_s(self) -> float:
+        """How long ago, at the most, what was found last may have come; s."""
+        return time.monotonic() - (self.returned if self.slept else self.returned_before)
+
+
+class TimedLoop(asyncio.SelectorEventLoop):
+    """An event loop on a ``TimedSelector``."""
+
+    def __init__(self) -> None:
+        self.selector = TimedSelector()
+        super().__init__(self.selector)
+
+
+def since_last_data_ms(sock: socket.socket) -> float | None:
+    """How long ago a TCP connection last received data, by the kernel; None where that does not tell."""
+    try:
+        raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+    except OSError:
+        return None
+    if len(raw) < LAST_DATA_RECEIVED + 4 or not raw[0]:  # no connection's state is 0: it was not filled in
+        return None
+    return float(struct.unpack_from("I", raw, LAST_DATA_RECEIVED)[0])
+
+
+def age_ms(sock: socket.socket, loop: asyncio.AbstractEventLoop) -> float:
+    """How long ago bytes that the loop has just read had come, at the most; ms, 0 where nothing tells."""
+    known = since_last_data_ms(sock)
+    if known is not None:
+        return known
+    return loop.selector.may_have_waited_s() * 1000.0 if isinstance(loop, TimedLoop) else 0.0
+
+
+class ArrivalLog:
+    """When the bytes of one stream arrived, by their place in it.  Pure; times in any one unit."""
+
+    MOST = 64  # entries; beyond it later bytes count as come with the last ones before them
+
+    def __init__(self) -> None:
+        self._chunks: deque[tuple[int, float]] = deque()  # where each ends, and when it came
+        self._end = 0
+
+    def note(self, count: int, at: float) -> None:
+        """So many bytes more have come."""
+        self._end += count
+        if len(self._chunks) >= self.MOST:
+            at = self._chunks.pop()[1]
+        self._chunks.append((self._end, at))
+
+    def of(self, place: int) -> float | None:
+        """When the byte at a place came; None: it has not.  What stands before it is forgotten."""
+        while self._chunks and self._chunks[0][0] <= place:
+            self._chunks.popleft()
+        return self._chunks[0][1] if self._chunks else None
--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -76,18 +76,19 @@
                 while left > 0 and (data := await session.read()):
                     left -= len(data)
 
-    def _until(self, session: ClientSession, received_at: float) -> float | None:
+    def _until(self, session: ClientSession, begun_at: float) -> float | None:
         """Until when the next bytes must come; None: there is no hurry."""
         if not session.asked:
             return session.since + tunables.FRESH_S * 1000.0
-        return received_at + tunables.REQUEST_S * 1000.0 if received_at else None
+        return begun_at + tunables.REQUEST_S * 1000.0 if begun_at else None
 
     async def _read(self, http: h11.Connection, session: ClientSession) -> tuple[h11.Request, bytes, float] | None:
-        """The next whole request; None when the client closes."""
+        """The next whole request, and when its first byte had come; None when the client closes."""
         request: h11.Request | None = None
         body = bytearray()
-        received_at = self.core.clock.now() if http.trailing_data[0] else 0.0
-        session.halfway = bool(received_at)
+        begun_at = self.core.clock.now() if http.trailing_data[0] else 0.0  # since when it is this request's turn
+        arrived_at = session.arrived_at(http, begun_at)
+        session.halfway = bool(begun_at)
         try:
             while True:
                 raw = http.trailing_data[0] if request is None else b""
@@ -98,19 +99,20 @@
                             http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
                     # Between requests a client may be silent as long as it likes, inside one and before
                     # its first it may not.
-                    until = self._until(session, received_at)
+                    until = self._until(session, begun_at)
                     left_s = None if until is None else (until - self.core.clock.now()) / 1000.0
                     try:
                         async with asyncio.timeout(left_s):
                             data = await session.read()
                     except TimeoutError:
-                        if session.unread and not received_at:
+                        if session.unread and not begun_at:
                             continue  # the first bytes came in this very moment: they are looked at first
                         raise BadRequestError(408, "the request did not end in time") from None
-                    if data:
-                        received_at = received_at or self.core.clock.now()
-                        session.halfway = True
                     http.receive_data(data)
+                    if data and not begun_at:
+                        begun_at = self.core.clock.now()
+                        arrived_at = session.arrived_at(http, begun_at)
+                        session.halfway = True
                 elif isinstance(event, h11.Request):
                     check_head(event, re.split(rb"\r?\n\r?\n", raw, maxsplit=1)[0])
                     request = event
@@ -122,7 +124,7 @@
                     if self.bodies < 0:
                         raise BadRequestError(503, "no room for bodies")
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
-                    return request, bytes(body), received_at
+                    return request, bytes(body), arrived_at
                 else:
                     return None
         finally:
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -7,10 +7,12 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
 
 import h11
 
+from ..arrival import ArrivalLog, age_ms
 from . import tunables
 
 
@@ -29,10 +31,21 @@
         self.now = now
         self.left_at = 0.0
         self.heard = 0  # bytes that have come
+        self.heard_at = 0.0  # when the last of them were read from the socket; 0: none have come
+        self.arrivals = ArrivalLog()
+        self._socket: socket.socket | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is taken in."""
+        self._socket = transport.get_extra_info("socket")
+        super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Bytes have come; whoever reads them has yet to be woken."""
         self.heard += len(data)
+        self.heard_at = self.now()
+        assert self._socket is not None
+        self.arrivals.note(len(data), self.heard_at - age_ms(self._socket, asyncio.get_running_loop()))
         super().data_received(data)
 
     def eof_received(self) -> bool | None:
@@ -72,6 +85,11 @@
         self.taken += len(data)
         return data
 
+    def arrived_at(self, http: h11.Connection, now: float) -> float:
+        """When the first byte that ``http`` has yet to parse had come to this machine; ``now`` at the latest."""
+        known = self.protocol.arrivals.of(self.taken - len(http.trailing_data[0]))
+        return now if known is None else min(now, known)
+
     @property
     def unread(self) -> bool:
         """Whether bytes have come to this process that its handler has yet to read."""
--- a/tests/test_deadline_told.py
+++ b/tests/test_deadline_told.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from gaphub.net.arrival import ArrivalLog
+
 from .fleet import Attempt, play
 from .processes import Process
 from .test_shutdown_limits import Site, request, until_closed
@@ -87,3 +89,17 @@
         assert [a.ident for a in site.worker.attempts] == ["first"]
 
     play(site.play(course), WITHIN_S)
+
+
+def test_arrival_times_go_with_the_bytes() -> None:
+    log = ArrivalLog()
+    log.note(10, 1.0)
+    log.note(5, 2.0)
+    assert (log.of(0), log.of(9), log.of(10), log.of(14)) == (1.0, 1.0, 2.0, 2.0)
+    assert log.of(15) is None
+    for i in range(10_000):
+        log.note(1, 3.0 + i)
+    assert log.of(15) == 3.0
+    assert len(log._chunks) <= ArrivalLog.MOST
+    last = log.of(10_014)
+    assert last is not None and 3.0 <= last <= 10_002.0  # never later than it came
