Tests: what an attempt tells covers a hold-up between clock and write, red

Cause: "at most what the client has left, with 0.15 s of slack" and "held up for up to 0.15 s between reading its clock and writing" bind together. The head is worded, then the last byte is held back for 4 ms, so a hold-up of 0.15 s at either write goes some ms past the slack; and a worker that takes a body of 64 KiB 0.5 s late is told 0.5 s too much, without a hold-up.

--- a/tests/test_deadline_told.py
+++ b/tests/test_deadline_told.py
@@ -8,18 +8,22 @@
 
 import asyncio
 import signal
+import socket
 import time
 from pathlib import Path
 
 import pytest
 
+from gaphub.net import http
 from gaphub.net.arrival import ArrivalLog
 
 from .fleet import Attempt, play
 from .processes import Process
+from .scenario import SETTINGS, Cast
 from .test_shutdown_limits import Site, request, until_closed
 
 SLACK_MS = 150.0
+HELD_S = 0.15  # it is held up for so long between its clock and its write
 STOPPED_S = 0.4  # the scheduler's process is stopped for so long
 TIMEOUT_MS = 3000.0
 PATIENT = [{"name": "poloha", "slo": 1500.0, "deadline": TIMEOUT_MS, "idempotency": "idempotent"}]
@@ -91,6 +95,105 @@
     play(site.play(course), WITHIN_S)
 
 
+class Slow:
+    """A worker of one connection that reads nothing for a while, with a small window."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+
+    async def read_later(self, after_s: float) -> tuple[float, float]:
+        """What the first whole request told, ms, and when its last byte was here."""
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self.listener)
+            await asyncio.sleep(after_s)
+            got = b""
+            try:
+                while b"\r\n\r\n" not in got or not got.endswith(b"z"):
+                    if not (data := await loop.sock_recv(sock, 65536)):
+                        break
+                    got += data
+                else:
+                    sock.sendall(b"HTTP/1.1 503 U\r\nContent-Length: 0\r\nX-Not-Processed: 1\r\n\r\n")
+                    told = float(got.lower().partition(b"x-timeout: ")[2].partition(b"m")[0])
+                    return told, time.monotonic()
+            except OSError:
+                pass
+            finally:
+                sock.close()
+
+
+# A worker that takes the body late: what the head told was true when it was written, and is not any more.
+def test_a_head_that_has_grown_old_before_the_last_byte_is_written_anew() -> None:
+    async def run() -> None:
+        async with Cast(settings={"limits": {**SETTINGS["limits"], "mostTries": 1}}) as cast:
+            slow = Slow()
+            cast.ports["w"] = slow.listener.getsockname()[1]
+            await cast.play("d expect index=41\nd send list 42 full w=active\nd expect index=42")
+            _, writer = await asyncio.open_connection(*cast.config.listen)
+            sent_at = time.monotonic()
+            body = "x" * 65_000 + "z"
+            writer.write(cast.render("c", f"job poloha r1 {body} X-Timeout:3000m"))
+            told, whole = await slow.read_later(0.5)
+            assert told - (3000.0 - (whole - sent_at) * 1e3) <= SLACK_MS
+            writer.close()
+            slow.listener.close()
+
+    asyncio.run(asyncio.wait_for(run(), WITHIN_S))
+
+
+COURSES = {"the first attempt": 1, "a retry": 2, "a second copy": 2}  # and how many attempts there are
+
+
+@pytest.mark.parametrize("name", COURSES)
+@pytest.mark.parametrize("where", ["before the head", "before the last byte"])
+def test_what_is_told_covers_a_process_held_up_between_its_clock_and_its_write(
+        name: str, where: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    write = http.Connection._write
+    heads: list[tuple[float, float]] = []  # what was told, and when its last byte was out
+
+    async def held_up(self: http.Connection, data: bytes) -> None:
+        if b"X-Timeout: " in data or len(data) == 1:
+            if (len(data) == 1) == (where == "before the last byte"):
+                time.sleep(HELD_S)
+            if len(data) > 1:
+                heads.append((float(data.partition(b"X-Timeout: ")[2].partition(b"m")[0]), 0.0))
+        await write(self, data)
+        if len(data) == 1:
+            heads[-1] = heads[-1][0], time.monotonic()
+
+    monkeypatch.setattr(http.Connection, "_write", held_up)
+
+    async def run() -> None:
+        async with Cast(settings={"limits": {**SETTINGS["limits"], "secondCopies": True, "cancel": True}}) as cast:
+            await cast.play("d expect index=41\nd send list 42 full w=active x=active\nd expect index=42")
+            sent_at = time.monotonic()
+            await cast.play("c send job poloha r1 ab X-Timeout:2000m")
+            first, other = await who_gets_the_first(cast)
+            await cast.play(f"{first} expect r1.*ab")
+            if name == "a retry":
+                await cast.play(f"{first} send status 503 X-Not-Processed:1")
+            serves = first if name == "the first attempt" else other
+            await cast.play(f"{serves} expect r1.*ab" if serves != first else "")
+            await cast.play(f"{serves} send lines r1 done=one .\nc expect 200 .*one")
+            assert len(heads) == COURSES[name]
+            for told, whole in heads:
+                assert told - (2000.0 - (whole - sent_at) * 1e3) <= SLACK_MS
+
+    asyncio.run(asyncio.wait_for(run(), WITHIN_S))
+
+
+async def who_gets_the_first(cast: Cast) -> tuple[str, str]:
+    """Of two workers the one that the first attempt has connected to, and the other."""
+    while cast.sides["w"].next.empty() and cast.sides["x"].next.empty():
+        await asyncio.sleep(0.001)
+    return ("x", "w") if cast.sides["w"].next.empty() else ("w", "x")
+
+
 def test_arrival_times_go_with_the_bytes() -> None:
     log = ArrivalLog()
     log.note(10, 1.0)
