--- a/gaphub/net/http/outbound.py
+++ b/gaphub/net/http/outbound.py
@@ -123,7 +123,7 @@
                             outcome.report = early.report
                         raise
                     took_ms = self.core.clock.now() - call.begun_at
-                    if took_ms > told_less_ms + tunables.TOLD_LATE_MS:
+                    if took_ms > told_less_ms + tunables.HOLD_S * 1000.0 + tunables.TOLD_LATE_MS:
                         # Guards against a worker that takes a body late: what the head tells is not left any more.
                         self.counters.add("calls.told_late")
                         told_less_ms += took_ms
