Tests: a listener that closes while accepting fails, and in an upgrade, red

Cause: two ways to lose a connection that the kernel has taken for a process that is leaving. "System calls fail in all the ways that Linux documents": at ECONNABORTED, ENFILE, EMFILE, ENOBUFS, EINTR or EPERM the last look at the listener ended, and who waited there was reset.

Accepting that fails while the scheduler serves is tested too.

--- /dev/null
+++ b/tests/test_local_failures.py
@@ -0,0 +1,125 @@
+"""Calls of the system that fail for a moment, in ways that Linux documents, are nobody else's fault.
+
+The failures are put between the program and its sockets or its folder; the sockets are real.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gaphub.net import http
+
+from .scenario import Cast, free_port
+
+ONE = "d expect index=41\n"
+SERVED = ONE + "c send job poloha r1\nw expect r1\nw send lines r1 done=one .\nc expect 200 .*one"
+ACCEPT_FAILS = [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EINTR, errno.EPERM]
+
+
+def failing(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
+
+
+# --- accepting -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("number", ACCEPT_FAILS)
+def test_who_waits_at_a_listener_that_closes_is_taken_in_though_accepting_fails_for_a_moment(
+        number: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "LEAVE_MOST_MS", 500.0)
+    accept, stop_accepting = socket.socket.accept, http.Inbound._stop_accepting
+    fails: list[int] = []
+    late: list[socket.socket] = []
+
+    def accept_or_fail(self: socket.socket) -> tuple[socket.socket, Any]:
+        if fails:
+            raise failing(fails.pop())
+        return accept(self)
+
+    async def run() -> None:
+        async with Cast() as cast:
+            async def stop(self: http.Inbound) -> None:
+                late.append(socket.create_connection(cast.config.listen))
+                late[0].sendall(cast.render("c", "job poloha r1"))
+                fails.extend([number, number])
+                await stop_accepting(self)
+                assert not fails
+
+            monkeypatch.setattr(socket.socket, "accept", accept_or_fail)
+            monkeypatch.setattr(http.Inbound, "_stop_accepting", stop)
+            await cast.play(ONE + "term\nw expect r1\nw send lines r1 done=one .\nended")
+            late[0].settimeout(5.0)
+            assert b"200" in (got := late[0].recv(65536)) and got.endswith(b"one")
+            late[0].close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("number", ACCEPT_FAILS)
+def test_accepting_that_fails_for_a_moment_goes_on(number: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    accept, left = socket.socket.accept, [number]
+
+    def accept_or_fail(self: socket.socket) -> tuple[socket.socket, Any]:
+        if left:
+            raise failing(left.pop())
+        return accept(self)
+
+    monkeypatch.setattr(socket.socket, "accept", accept_or_fail)
+    play_served()
+
+
+# Between a listener's last look and its close the kernel goes on taking connections in, and resets them then.
+def test_who_connects_between_the_last_look_and_the_close_comes_to_the_successor(
+        monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    close, make = socket.socket.close, http.Inbound.__init__
+    inbounds: list[http.Inbound] = []
+    come: list[socket.socket] = []
+
+    def noted(self: http.Inbound, *args: Any, **more: Any) -> None:
+        make(self, *args, **more)
+        inbounds.append(self)
+
+    def come_then_close(self: socket.socket) -> None:
+        if inbounds and self is inbounds[0]._listener and not come:
+            come.extend(socket.create_connection(self.getsockname(), timeout=2.0) for _ in range(32))
+        close(self)
+
+    monkeypatch.setattr(http.Inbound, "__init__", noted)
+    monkeypatch.setattr(socket.socket, "close", come_then_close)
+
+    async def run() -> None:
+        async with Cast(admin=f"127.0.0.1:{free_port()}") as cast:
+            with socket.socket() as successor:
+                successor.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                successor.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+                successor.bind(cast.config.listen)
+                successor.listen(64)
+                successor.setblocking(False)
+                await inbounds[0].leave(lambda: True, successor=True)
+                assert len(come) == 32
+                for _ in come:
+                    successor.accept()[0].close()
+            for sock in come:
+                sock.close()
+
+    asyncio.run(run())
+
+
+def play_served(**counted: int) -> None:
+    """One job is served at the first attempt; and what counters say then."""
+
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(SERVED)
+            for name, value in {"calls.sent": 1, "calls.ok": 1, **counted}.items():
+                assert cast.counters.values[name] == value, cast.counters.snapshot()
+
+    asyncio.run(run())
