Leaving: the successor gets all new connections before the old listener closes

Cause: `_stop_accepting` ended its last look at any OSError and closed the listener over whoever still waited; and the kernel shares connections out by a hash until the close, so that one in two that came between the last look and the close was reset in an upgrade.

Change: the last look goes on after errors, with room made and a pause after four in a row. In an upgrade a BPF program of one instruction (`net/http/reuseport.py`) has the kernel give new connections to the successor, by its place in the group: the lock that says who serves now holds when that began, on the monotonic clock. A process that starts takes the program away. Way not taken: a shorter backlog, which drops the handshake and costs the client a second; passing sockets on by a Unix socket, which the platform does not give.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -28,6 +28,7 @@
 from .net.destinations import DestinationSet
 from .net.gearman import Gearman
 from .net.http import INBOUND_PART, Inbound, Outbound
+from .net.http.reuseport import FIRST, SECOND
 from .net.ops import Ops
 from .net.peers import Peers
 from .occupancy.status import occupancy_status
@@ -201,9 +202,9 @@
         await stop.wait()
         gearmen.leave()
         peers.leave()
-        if successor := shelf.has_successor():
+        if successor := bool(shelf.others_began_ns()):
             await peers.close()  # the kernel gives datagrams to one of two sockets: they are the successor's now
-        leaves = [inbound.leave(peers.others_serve, successor)]
+        leaves = [inbound.leave(peers.others_serve, successor, SECOND if shelf.began_first else FIRST)]
         if address is not None:
             leaves.append(address.leave())
         if moving is not None:
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -14,7 +14,7 @@
 from ...config import Address, Config
 from ...core import Core, Fence, Tasks
 from ...metrics import Counters
-from . import tunables
+from . import reuseport, tunables
 from .drain import Drain
 from .handler import RequestHandler
 from .session import ClientSession, SessionProtocol
@@ -54,6 +54,8 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, tunables.RECEIVE)
         listener.bind(found[0][4])
         listener.listen(tunables.BACKLOG)
+        if self.shared:
+            reuseport.share_out(listener)  # a process that left may have had all given to its successor
         self._accepting = self._tasks.start(self._accept(listener))
 
     async def _stop_accepting(self) -> None:
@@ -66,23 +68,42 @@
             return
         self._accepting.cancel()
         await asyncio.wait([self._accepting, *([self._arriving] if self._arriving else [])])
-        left = []
-        with suppress(OSError):
-            while True:
-                left.append(self._listener.accept()[0])
+        left: list[socket.socket] = []
+        while not self._accept_waiting(self._listener, left):
+            await asyncio.sleep(tunables.ACCEPT_AGAIN_S)
         self._listener.close()
         self._listener = None
         for sock in left:
             sock.setblocking(False)
             await self._take_in(sock)
 
-    async def leave(self, others_serve: Callable[[], bool], successor: bool = False) -> None:
+    def _accept_waiting(self, listener: socket.socket, into: list[socket.socket]) -> bool:
+        """Accept all who wait; False if it failed before that.
+
+        Guards against errors of one connection or one moment, after which others wait still.  Room is made where
+        that may be what is wanting.
+        """
+        failures = 0
+        while failures < tunables.ACCEPT_FAILURES:
+            try:
+                into.append(listener.accept()[0])
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                self.counters.log("connections.not_accepted", repr(error))
+                failures += 1
+        self._make_room()
+        return False
+
+    async def leave(self, others_serve: Callable[[], bool], successor: bool = False,
+                    place: int = reuseport.SECOND) -> None:
         """After SIGTERM: serve on while connections come, then end each after its answer.
 
         Clients go on using the connections that they have.  Where no other scheduler takes requests, those
         are all that the clients have: they are kept while a request may still be answered on them.
         ``successor``: another process listens at the same address.  Then new connections are its, at once, and
         those that are here end with an answer; idle ones wait for one as long as there is time.
+        ``place``: whether it began to listen after this one (``SECOND``) or before (``FIRST``).
         """
         now = self.core.clock.now
         # Of the classes in force: rows of others are kept for open jobs, and SIGKILL does not wait for those.
@@ -90,6 +111,8 @@
         self.drain.begin(now(), longest)
         if successor:
             self.drain.leaving = True
+            if self._listener is not None:
+                reuseport.give_all_to(self._listener, place)
             await self._stop_accepting()
         else:
             await asyncio.sleep(tunables.LINGER_S)
@@ -132,7 +155,7 @@
                 continue
             except OSError as error:
                 self.counters.log("connections.not_accepted", repr(error))
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(tunables.ACCEPT_AGAIN_S)
                 continue
             sock.setblocking(False)
             # A task of its own, waited for: an accepted connection is taken in even if accepting ends meanwhile.
--- a/gaphub/ops/shelf.py
+++ b/gaphub/ops/shelf.py
@@ -11,6 +11,7 @@
 import fcntl
 import os
 import re
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -32,6 +33,7 @@
         self._path = Path(folder) / f"gaphub-{name}.out" if folder else None
         self._own = self._path.with_suffix(f".{os.getpid()}.serving") if self._path else None
         self._lock = -1  # the descriptor of this process's lock, while it serves
+        self._began_ns = 0
         self._outs = outs
         self._counters = counters
         self._changed = changed
@@ -107,18 +109,26 @@
         """Say that this process serves from now on, until it ends."""
         if self._own is None:
             return
+        self._began_ns = time.monotonic_ns()
         try:
             self._lock = os.open(self._own, os.O_CREAT | os.O_RDWR, 0o600)
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.ftruncate(self._lock, 0)
+            os.write(self._lock, b"%d" % self._began_ns)
         except OSError as error:
             self._counters.log("ops.not_written", str(error))
 
-    def has_successor(self) -> bool:
-        """Whether another process of this scheduler serves now."""
+    def others_began_ns(self) -> list[int]:
+        """When each other process of this scheduler that serves began to; ns (monotonic), 0: unknown."""
         if self._path is None:
-            return False
+            return []
         locks = self._path.parent.glob(f"{self._path.stem}.*.serving")
-        return any(path != self._own and _held(path) for path in locks)
+        return [_began_ns(path) for path in locks if path != self._own and _held(path)]
+
+    @property
+    def began_first(self) -> bool:
+        """Whether this process began to serve before all others of this scheduler that do."""
+        return all(began == 0 or began > self._began_ns for began in self.others_began_ns())
 
     def close(self) -> None:
         """Say that this process serves no longer."""
@@ -151,3 +161,11 @@
         return False
     finally:
         os.close(number)
+
+
+def _began_ns(path: Path) -> int:
+    """What a process has written into its lock; 0 where that cannot be read."""
+    try:
+        return int(path.read_bytes()[:32])
+    except (OSError, ValueError):
+        return 0
