Tests: local failures at connect, and a folder that cannot be written, red

Cause: "a local failure is nobody else's fault": ENFILE, EMFILE, ENOBUFS, ENOMEM at socket, EADDRNOTAVAIL, ENETUNREACH, ENOBUFS at connect end an attempt as "could not connect", which is held against its worker, and lengthen the pauses before discovery is called again. "What was taken on is still owed": a worker taken out by hand while its page cannot be written is told yes, and the page is never written once the folder works.

Change: tests alone; listed until their fixes.

--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -9,18 +9,23 @@
 import errno
 import os
 import socket
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from gaphub.lab.world import Agent, Workers
 from gaphub.net import http
 
+from .processes import Process, job, running
 from .scenario import Cast, free_port
 
 ONE = "d expect index=41\n"
 SERVED = ONE + "c send job poloha r1\nw expect r1\nw send lines r1 done=one .\nc expect 200 .*one"
 ACCEPT_FAILS = [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EINTR, errno.EPERM]
+CONNECT_FAILS = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS]
+SOCKET_FAILS = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]
 
 
 def failing(number: int) -> OSError:
@@ -113,6 +118,9 @@
     asyncio.run(run())
 
 
+# --- connecting ----------------------------------------------------------------------------------------
+
+
 def play_served(**counted: int) -> None:
     """One job is served at the first attempt; and what counters say then."""
 
@@ -123,3 +131,74 @@
                 assert cast.counters.values[name] == value, cast.counters.snapshot()
 
     asyncio.run(run())
+
+
+@pytest.fixture
+def fails(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[tuple[str, int]]]:
+    """What is to fail next, of outbound sockets: ``socket`` or ``connect``, and the number of the error."""
+    left: list[tuple[str, int]] = []
+    real = socket.socket
+
+    class Failing(real):  # type: ignore[misc, valid-type]
+        def __init__(self, *args: Any, **more: Any) -> None:
+            if left and left[0][0] == "socket" and "fileno" not in more:
+                raise failing(left.pop(0)[1])
+            super().__init__(*args, **more)
+
+        def connect(self, to: Any) -> None:
+            if left and left[0][0] == "connect":
+                raise failing(left.pop(0)[1])
+            super().connect(to)
+
+    monkeypatch.setattr(socket, "socket", Failing)
+    yield left
+
+
+@pytest.mark.parametrize(("call", "number"), [("connect", n) for n in CONNECT_FAILS]
+                         + [("socket", n) for n in SOCKET_FAILS])
+def test_a_connection_that_this_machine_cannot_make_for_a_moment_costs_no_attempt_and_no_trust(
+        call: str, number: int, fails: list[tuple[str, int]]) -> None:
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE + "c send")
+            fails.extend([(call, number)] * 3)
+            await cast.play(SERVED.removeprefix(ONE))
+            assert not fails
+            assert cast.counters.values["calls.sent"] == 1, cast.counters.snapshot()
+
+    asyncio.run(run())
+
+
+# --- the folder in which processes leave each other what they took on ----------------------------------
+
+
+def test_a_worker_put_out_while_the_folder_fails_stays_out_for_the_successor(tmp_path: Path) -> None:
+    async def play() -> None:
+        workers = Workers({"vyuctovani": 5.0})
+        await workers.open(2)
+        agent = Agent(workers.addresses)
+        await agent.open()
+        listen, folder, away = free_port(), tmp_path / "lasting", tmp_path / "away"
+        folder.mkdir()
+        old = Process(folder, listen, agent, "old")
+        both = [old]
+        with running(both):
+            try:
+                await old.ready()
+                folder.rename(away)  # every write there fails from now on
+                assert await old.call("PUT /ops/workers/down", "s-0") == 200
+                await asyncio.sleep(0.5)
+                away.rename(folder)
+                async with asyncio.timeout(5.0):
+                    while not (folder / "gaphub-n0.out").exists():
+                        await asyncio.sleep(0.02)
+                both.append(new := Process(folder, listen, agent, "new"))
+                await new.ready()
+                old.end()
+                assert [await job(listen, f"r{i}") for i in range(20)] == [200] * 20
+                assert workers.runs[workers.addresses[0]] == 0
+            finally:
+                agent.close()
+                workers.close()
+
+    asyncio.run(play())
