Local failures at connect are tried again; words that could not be written are owed

Cause: `Connection.connect` passed every OSError on as the other side's; `Shelf.put` noted a page as seen also where it had not been written, and nothing looked again.

Change: errors of socket and connect that say nothing of the other side are tried again every 10 ms within the time for connecting. Not changed: a local failure that outlasts the settings' dial time still ends the attempt as "could not connect".

--- a/gaphub/net/http/connection.py
+++ b/gaphub/net/http/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Iterable
 from typing import Any
@@ -18,6 +19,10 @@
 
 Header = tuple[bytes, bytes]
 
+# Of socket(2) and connect(2): errors that say nothing of the other side, and pass.
+LOCAL_FAILURES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL,
+                            errno.ENETUNREACH, errno.ENETDOWN))
+
 
 class ConnectionLostError(Exception):
     """The connection broke or ended where an answer was owed."""
@@ -48,12 +53,26 @@
         """A new connection; ConnectionLostError if it does not come up in time."""
         try:
             async with asyncio.timeout(within_s):
-                reader, writer = await asyncio.open_connection(*to)
+                reader, writer = await cls._open(to)
                 writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, tunables.SEND)
                 return cls(reader, writer)
         except (OSError, TimeoutError) as error:
             raise ConnectionLostError(str(error)) from None
 
+    @staticmethod
+    async def _open(to: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect, again and again while this machine itself is what fails; OSError for anything else.
+
+        Guards against holding a worker, or discovery, to account for a want of descriptors, ports or memory here.
+        """
+        while True:
+            try:
+                return await asyncio.open_connection(*to)
+            except OSError as error:
+                if error.errno not in LOCAL_FAILURES:
+                    raise
+            await asyncio.sleep(tunables.LOCAL_AGAIN_S)
+
     @property
     def usable(self) -> bool:
         """Whether another request may be written."""
--- a/gaphub/net/http/tunables.py
+++ b/gaphub/net/http/tunables.py
@@ -29,6 +29,7 @@
 STALE = 0.03
 STALE_STEP = 0.05  # share; how fast the view of that share moves with each request on a kept connection
 TOLD_LESS_MS = 25.0  # an attempt tells its worker so much less than is left, as its last byte goes out later
+LOCAL_AGAIN_S = 0.01  # after this machine has failed to make a connection, for as long as there is time for it
 SEND = 8 * 1024  # bytes of a connection to a worker that wait in the kernel: what is past it, we know is not out
 TOLD_LATE_MS = 100.0  # ms past what is left; a head that tells more when its last byte is to go is written anew
 PROBE_S = 0.2
--- a/gaphub/ops/shelf.py
+++ b/gaphub/ops/shelf.py
@@ -34,6 +34,8 @@
         self._own = self._path.with_suffix(f".{os.getpid()}.serving") if self._path else None
         self._lock = -1  # the descriptor of this process's lock, while it serves
         self._began_ns = 0
+        self._serves = False
+        self._owed = False  # whether the words have yet to be written
         self._outs = outs
         self._counters = counters
         self._changed = changed
@@ -44,19 +46,33 @@
         if self._path is None:
             return
         self.look()
-        self._write(self._path, self._outs.encode())
-        self._seen = self._state()
+        self._owed = not self._write(self._path, self._outs.encode(), lasting=True)
+        if not self._owed:
+            self._seen = self._state()
 
-    def _write(self, path: Path, data: bytes) -> None:
-        """A page, whole or not at all."""
+    def _write(self, path: Path, data: bytes, lasting: bool = False) -> bool:
+        """A page, whole or not at all; whether it was written, and synced where it is to be ``lasting``."""
         own = path.with_suffix(f".{os.getpid()}.new")
         try:
-            own.write_bytes(data)
+            with open(own, "wb") as file:
+                file.write(data)
+                if lasting:
+                    file.flush()
+                    os.fsync(file.fileno())
             os.replace(own, path)
         except OSError as error:
             self._counters.log("ops.not_written", str(error))
             with suppress(OSError):
                 own.unlink()
+            return False
+        return True
+
+    def _pay(self) -> None:
+        """Do what could not be done before: a folder may fail for a while, and what was said yes to is owed."""
+        if self._owed:
+            self.put()
+        if self._serves and self._lock < 0:
+            self.serving()
 
     # -- what a process has measured --
 
@@ -109,7 +125,8 @@
         """Say that this process serves from now on, until it ends."""
         if self._own is None:
             return
-        self._began_ns = time.monotonic_ns()
+        self._serves = True
+        self._began_ns = self._began_ns or time.monotonic_ns()
         try:
             self._lock = os.open(self._own, os.O_CREAT | os.O_RDWR, 0o600)
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -132,6 +149,9 @@
 
     def close(self) -> None:
         """Say that this process serves no longer."""
+        if self._owed:
+            self.put()
+        self._serves = False
         if self._own is not None and self._lock >= 0:
             with suppress(OSError):
                 self._own.unlink()
@@ -143,6 +163,7 @@
         while True:
             await asyncio.sleep(LOOK_S)
             self.look()
+            self._pay()
 
 
 def _held(path: Path) -> bool:
