--- a/tests/test_shutdown_limits.py
+++ b/tests/test_shutdown_limits.py
@@ -44,6 +44,7 @@
         self.worker = Worker(self._behave)
         self.work_s = work_s
         self.settings = {**SETTINGS, "grades": CLASSES, **settings}
+        self.more: dict[str, Any] = {}  # further keys of the scheduler's file
 
     def _behave(self, attempt: Attempt, conversation: Conversation) -> None:
         asyncio.get_running_loop().call_later(self.work_s, conversation.line, attempt, "done")
@@ -54,7 +55,7 @@
         await self.worker.open()
         discovery.put("w", self.worker.address[1])
         await discovery.listen()
-        one = Process(self.folder, free_port(), discovery, "one", settings=self.settings, admin="")
+        one = Process(self.folder, free_port(), discovery, "one", settings=self.settings, admin="", **self.more)
         with running([one]):
             try:
                 assert await one.took_to_ready() < 20.0
--- /dev/null
+++ b/tests/test_slow_clients.py
@@ -0,0 +1,120 @@
+"""Clients that write slowly and are good, and clients that stop and stay, on one real process and its sockets.
+
+Pages: a true job may take 2 s to write, on a new connection, in a crowd that never finishes one; a client that
+stops is owed an error or a close within 3 s, however it stops.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import re
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from .fleet import play
+from .processes import Process
+from .test_shutdown_limits import Site, request, until_closed
+
+WRITE_S = 2.0  # for which a slow client writes
+PIECES = 11
+OWED_S = 3.0  # from connecting, or from the first byte of a later request
+SOCKETS_S = 0.05  # every limit of time is longer by this on sockets
+DESCRIPTORS = 128
+CROWD = 400  # connections that come and never finish a job
+WITHIN_S = 30.0
+PATIENT = [{"name": "poloha", "slo": 3000.0, "deadline": 5000.0, "idempotency": "idempotent"}]
+
+
+async def write_slowly(port: int, ident: str) -> bytes:
+    """One request in pieces over ``WRITE_S`` on a new connection; all that came back until it was answered."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    data = request(ident, 5000.0)
+    cuts = [len(data) * i // PIECES for i in range(PIECES + 1)]
+    got = b""
+    with suppress(OSError):
+        for i, (start, end) in enumerate(itertools.pairwise(cuts)):
+            if i:
+                await asyncio.sleep(WRITE_S / (PIECES - 1))
+            writer.write(data[start:end])
+        got = await reader.read(65536)
+    writer.close()
+    return got
+
+
+def site(folder: Path) -> Site:
+    return Site(folder, 0.01, grades=PATIENT)
+
+
+def test_a_request_that_takes_2_s_to_write_is_served(tmp_path: Path) -> None:
+    async def course(one: Process) -> None:
+        got = await asyncio.gather(*(write_slowly(one.listen, f"r{i}") for i in range(5)))
+        assert all(b" 200 " in each for each in got), got
+
+    play(site(tmp_path).play(course), WITHIN_S)
+
+
+async def never_finish(port: int, tries: int) -> None:
+    """One of a crowd: half a head, or nothing, and wait; come again when closed."""
+    for i in range(tries):
+        with suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            try:
+                writer.write(request("never", 5000.0)[:40] if i % 2 else b"")
+                while await reader.read(4096):
+                    pass
+            finally:
+                writer.transport.abort()
+        await asyncio.sleep(0.1)
+
+
+def test_a_request_that_takes_2_s_to_write_is_served_in_a_crowd_that_fills_the_descriptors(tmp_path: Path) -> None:
+    async def course(one: Process) -> None:
+        crowd = [asyncio.create_task(never_finish(one.listen, 60)) for _ in range(CROWD)]
+        await asyncio.sleep(0.5)
+        got = await asyncio.gather(*(write_slowly(one.listen, f"r{i}") for i in range(5)))
+        for task in crowd:
+            task.cancel()
+        await asyncio.gather(*crowd, return_exceptions=True)
+        assert all(b" 200 " in each for each in got), got
+
+    crowded = site(tmp_path)
+    crowded.more = {"limits": {"memory_mb": 64, "sockets": DESCRIPTORS}}
+    play(crowded.play(course), WITHIN_S)
+
+
+GOOD = request("good", 5000.0)
+HALF_BODY = GOOD[:-1]
+EXPECT = GOOD.replace(b"Content-Length: 2\r\n\r\nab", b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+STOPS = {
+    "before the first byte": (b"", 0),
+    "in the head": (GOOD[:40], 0),
+    "in the body": (HALF_BODY, 0),
+    "after Expect": (EXPECT, 0),
+    "in a later head": (GOOD + b"POST /api HTTP/1.1\r\nHost", 1),
+    "in a later body": (GOOD + HALF_BODY.replace(b"good", b"late"), 1),
+    "behind two that were sent ahead": (GOOD + GOOD.replace(b"good", b"two") + GOOD[:40], 2),
+}
+
+
+@pytest.mark.parametrize("where", STOPS)
+def test_who_stops_and_stays_gets_an_error_or_a_close_within_3_s(where: str, tmp_path: Path) -> None:
+    data, answers = STOPS[where]
+
+    async def course(one: Process) -> None:
+        began = time.monotonic()
+        reader, writer = await asyncio.open_connection("127.0.0.1", one.listen)
+        writer.write(data)
+        got = b""
+        while got.count(b" 200 ") < answers:
+            got += await reader.read(65536)
+        while not re.search(rb"HTTP/1\.1 [45]", got) and (more := await reader.read(65536)):
+            got += more
+        assert time.monotonic() - began <= OWED_S + SOCKETS_S, got
+        await until_closed(reader)
+        writer.close()
+
+    play(site(tmp_path).play(course), WITHIN_S)
