Slow writers are waited for; a handover waits for handshakes that have begun

Cause: FRESH_S (1.5 s) and REQUEST_S (2 s) left a true job that takes 2 s to write no time, and a connection that waited 0.1 s between two pieces made room in a crowd. Looked at beside: in an upgrade the old listener closed as soon as its queue was empty, though handshakes that a busy machine finishes aside may still end there.

Change: both times are 2.5 s, within the 3 s that bad clients are owed. Making room counts from the last bytes heard; who has sent a second piece of a first request ranks with connections that carried jobs (1 s), who began one and stopped with those that asked once (0.25 s), who said nothing goes first (0.1 s), as before. The old process of an upgrade looks at its listener for 0.1 s more after it has handed new connections over.

--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -113,6 +113,9 @@
             self.drain.leaving = True
             if self._listener is not None:
                 reuseport.give_all_to(self._listener, place)
+                # Guards against handshakes that have begun with this listener and end a moment later: on a busy
+                # machine the kernel finishes them aside, and a close before that resets the connection.
+                await asyncio.sleep(tunables.HAND_OVER_S)
             await self._stop_accepting()
         else:
             await asyncio.sleep(tunables.LINGER_S)
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -31,6 +31,7 @@
         self.now = now
         self.left_at = 0.0
         self.heard = 0  # bytes that have come
+        self.pieces = 0  # in so many reads from the socket
         self.heard_at = 0.0  # when the last of them were read from the socket; 0: none have come
         self.arrivals = ArrivalLog()
         self._socket: socket.socket | None = None
@@ -43,6 +44,7 @@
     def data_received(self, data: bytes) -> None:
         """Bytes have come; whoever reads them has yet to be woken."""
         self.heard += len(data)
+        self.pieces += 1
         self.heard_at = self.now()
         assert self._socket is not None
         self.arrivals.note(len(data), self.heard_at - age_ms(self._socket, asyncio.get_running_loop()))
@@ -125,12 +127,15 @@
     def may_yield(self, now: float) -> tuple[int, float] | None:
         """Its place among those that make room for a newcomer, the least first; None: it stays.
 
-        Guards against crowds that hold connections and send nothing, or asked once and stay: without this
-        they filled the clients' part, and jobs were refused for want of a connection.
+        Guards against crowds that hold connections and send nothing, begin a request or asked once and stay:
+        without this they filled the clients' part, and jobs were refused for want of a connection.  Who goes on
+        with a first request is told from those by its second piece.
         """
         if self.waits is None or self.unread:
             return None
         if self.writer.transport.get_write_buffer_size() and now - self.waits < tunables.TAKE_S * 1000.0:
             return None  # its answer is still being taken
-        place = 2 if self.served else 1 if self.asked else 0
-        return (place, self.waits) if now - self.waits >= tunables.YIELD_MS[place] else None
+        writes = self.protocol.pieces > 1 and not self.asked  # a first request, slowly
+        place = 2 if self.served or writes else 1 if self.protocol.pieces else 0
+        since = max(self.waits, self.protocol.heard_at)  # who still writes goes after who says nothing
+        return (place, since) if now - since >= tunables.YIELD_MS[place] else None
--- a/gaphub/net/http/tunables.py
+++ b/gaphub/net/http/tunables.py
@@ -13,10 +13,12 @@
 RECEIVE = 32 * 1024  # bytes of a connection that wait to be read
 BACKLOG = 512  # connections that wait to be accepted
 ACCEPT_AGAIN_S = 0.01  # after accepting has failed
+HAND_OVER_S = 0.1  # from giving new connections to a successor to the last look at the old listener
 ACCEPT_FAILURES = 4  # in a row, of accepting for the last time; then it waits for so long too
-FRESH_S = 1.5  # from a connection's start to the end of its first good request
+# A good client may take 2 s to write a request; one that stops is owed an error or a close within 3 s.
+FRESH_S = 2.5  # from a connection's start to the end of its first good request
 YIELD_MS = (100.0, 250.0, 1000.0)  # waiting so long, a connection makes room: see ClientSession.may_yield
-REQUEST_S = 2.0  # from a later request's first byte to its last
+REQUEST_S = 2.5  # from a later request's first byte to its last
 TAKE_S = 10.0  # for a client to take an answer
 LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
 LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
