Discovery: a pushed agent is called again within a quarter of the drain's grace

Cause: the pause after failed calls doubled up to 0.8 s for all sites. Where lists are pushed the agent costs nothing and what it has at its return is told at once, so the pause has to fit into the grace; 0.8 s does not fit into 250 ms, and with a hold-up of 0.15 s hardly into 1 s.

Change: where lists are pushed the pause is at most 0.2 s (the time within which a watch goes on) and at most a quarter of `drainGrace`, at least 20 ms; the first pause, that after a garbled list and that after an empty answer at once are no longer than it. Where lists are asked for nothing changes, as calls cost there.

--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -26,7 +26,12 @@
 SILENT_S = 0.5  # past the wait, without an answer: the agent is silent and the call is begun again
 CALL_S = 2.0  # for a call that may not wait
 AGAIN_S = 0.1  # after a failed call, doubling up to the next
-AGAIN_MOST_S = 0.8  # the agent is on this machine; after a move its list counts as told within seconds
+AGAIN_MOST_S = 0.8  # where lists are asked for: after a move the list counts as told within seconds
+# Where lists are pushed the agent is on this machine, answers at no cost, and what it has counts as told at once,
+# also when it has just come back: it is called again soon enough to keep the grace of a drain.
+PUSHED_MOST_S = 0.2  # a watch goes on if the next call comes within this time
+GRACE_PART = 0.25  # of the grace of a drain
+PUSHED_LEAST_S = 0.02  # however short the grace
 # A watch that is answered at once with nothing new is begun again only after AGAIN_S; one that brings news at
 # once QUICK times in a row, after BUSY_S.  Both are well within the time in which a watch goes on.
 AT_ONCE_S = 0.02
@@ -94,7 +99,7 @@
 
     async def run(self) -> None:
         """Watch for ever; a failure is told, waited out and never ends the actor."""
-        pause = AGAIN_S
+        pause = self._first_pause_s()
         try:
             while True:
                 while not self._asked.empty() or not (self.following or self._whole):
@@ -106,10 +111,10 @@
                     # The new agent may count its versions anew: it is asked for the whole list first.
                     self._moved.clear()
                     self._drop()
-                    pause, self._whole = AGAIN_S, True
+                    pause, self._whole = self._first_pause_s(), True
                 try:
                     await self._unless_moved(self._paced_call(self._whole))
-                    pause = AGAIN_S
+                    pause = self._first_pause_s()
                 except (ConnectionLostError, NeverWrittenError, TimeoutError, h11.ProtocolError) as error:
                     self._drop()
                     self.counters.log("lists.failed", repr(error))
@@ -118,15 +123,25 @@
                         await self.core.post(self.core.list_failed)
                     if not isinstance(error, TimeoutError):  # else a wait is over already: watch on at once
                         await self._unless_moved(asyncio.sleep(pause))
-                        pause = min(AGAIN_MOST_S, pause * 2)
+                        pause = min(self._longest_pause_s(), pause * 2)
                 except Exception as error:  # whatever an answer does to the code that reads it, the watch goes on
                     self._drop()
                     self.counters.log("lists.raised", repr(error))
                     await self._unless_moved(asyncio.sleep(pause))
-                    pause = min(AGAIN_MOST_S, pause * 2)
+                    pause = min(self._longest_pause_s(), pause * 2)
         finally:
             self._drop()
 
+    def _longest_pause_s(self) -> float:
+        """The longest pause after failed calls, by the settings in force."""
+        settings = self.core.settings
+        if settings.must_ask:
+            return AGAIN_MOST_S
+        return max(PUSHED_LEAST_S, min(PUSHED_MOST_S, GRACE_PART * settings.drain_grace_ms / 1000.0))
+
+    def _first_pause_s(self) -> float:
+        return min(AGAIN_S, self._longest_pause_s())
+
     async def _next_asked(self) -> str:
         """What the module asks for next; a watch, if it is silent for too long and has not stopped one."""
         try:
@@ -160,7 +175,7 @@
         news = await self._call(whole)
         self._quick = self._quick + 1 if loop.time() - began < AT_ONCE_S else 0
         if self._quick and not news and not whole:
-            await asyncio.sleep(AGAIN_S)
+            await asyncio.sleep(self._first_pause_s())
         elif self._quick > QUICK:
             await asyncio.sleep(BUSY_S)
 
@@ -181,7 +196,7 @@
             entries = self._entries(found)
         except GARBLED as error:
             self.counters.log("garbled.list", str(error))
-            await asyncio.sleep(AGAIN_S)
+            await asyncio.sleep(self._first_pause_s())
             return True
         self.version = found.version
         self.told = True
