--- a/tests/test_shutdown_limits.py
+++ b/tests/test_shutdown_limits.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from .discovery import Discovery
 from .fleet import Attempt, Conversation, Worker, play
 from .processes import Process, running
@@ -86,3 +88,30 @@
         assert len(statuses(got)) == 4, got
 
     play(Site(tmp_path, 0.3).play(course), WITHIN_S)
+
+
+# A crowd that comes without end: the listener must not stay open for it until SIGKILL finds what it has taken.
+def test_a_scheduler_in_a_crowd_has_ended_when_sigkill_may_come(tmp_path: Path) -> None:
+    async def come_again(port: int, words: bytes) -> None:
+        while True:
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(words)
+                while await reader.read(4096):
+                    pass
+                writer.transport.abort()
+            await asyncio.sleep(0.02)
+
+    async def course(one: Process) -> None:
+        crowd = [asyncio.create_task(come_again(one.listen, b"POST /api HTTP/1.1\r\nHo" if i % 2 else b""))
+                 for i in range(60)]
+        await asyncio.sleep(0.5)
+        one.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(KILL_S - 0.1)
+        with pytest.raises(OSError):
+            await asyncio.open_connection("127.0.0.1", one.listen)
+        for task in crowd:
+            task.cancel()
+        await asyncio.wait(crowd)
+
+    play(Site(tmp_path, 0.01).play(course), WITHIN_S)
