Leaving: the listener closes and half-read requests end when all must be answered

Cause: leaving ended only when no connection was left for a moment, and until then the listener stayed open. While a crowd comes that moment does not, and SIGKILL found what had been taken last. Ruled out: open jobs (their time ends at `Drain.ends_at` already).

--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -125,7 +125,11 @@
         self.drain.leaving = True
         while True:
             while self.sessions or self.core.open_jobs:
-                self._close_resting(self.core.clock.now() - tunables.IDLE_LEAVING_S * 1000.0)
+                if now() < self.drain.ends_at:
+                    self._close_resting(now() - tunables.IDLE_LEAVING_S * 1000.0)
+                else:
+                    await self._stop_accepting()
+                    self._hurry()
                 await asyncio.sleep(0.02)
             if self._listener is None:
                 return
@@ -133,6 +137,17 @@
             # a process that ends would reset it with its request unread.
             await self._stop_accepting()
 
+    def _hurry(self) -> None:
+        """Close what rests and end what is half read, with an error: SIGKILL may come in a moment.
+
+        Guards against clients that come without end, as a crowd does: while there is one, the listener stayed
+        open, and what came just before SIGKILL was taken and not answered.
+        """
+        self._close_resting(self.core.clock.now() - tunables.IDLE_LAST_S * 1000.0)
+        for session in self.sessions.values():
+            if session.halfway and session.waits is not None:
+                session.reader.set_exception(TimeoutError("the scheduler ends"))
+
     def _close_resting(self, before: float) -> None:
         """Close what has rested since before a time."""
         for session in list(self.sessions.values()):
--- a/gaphub/net/http/tunables.py
+++ b/gaphub/net/http/tunables.py
@@ -48,4 +48,5 @@
 LEAVE_AIMS = 1.5  # of a never-twice class's aim; with less time left its job had better not begin
 LEAVE_RETURN_MS = 500.0
 IDLE_LEAVING_S = 0.3  # a connection idle for so long then is closed; a newer one may hold a request
+IDLE_LAST_S = 0.05  # and for so long when all must be answered
 REAP_S = 1.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""A short form of the soak of shutdowns (``tests/soak.py``), with seeds of its own; the long one is run by hand."""
+"""A short form of the soak of shutdowns (``tests/soak.py``), on seeds of its own; the long one is run by hand."""
 
 from __future__ import annotations
 
