Clocks: a worker's start and a successor's page are read right across a stepped wall clock

Cause: starts, told in Unix time, were compared with a clock whose Unix time was read once, at the scheduler's start; the successor's page carried that clock's times.

Change: `gaphub/start_times.py` (pure) keeps each start on the scheduler's own clock. The steps of the wall clock are noted at each list; of the moments that a stamp may mean, the latest that has passed counts; a stamp of the future, or one older by 30 s than the last answer of discovery that did not name it, means now. Without a step a start is what is told, to the digit. The page tells what its clock adds to the machine's monotonic one, and its moments are moved by the difference; its form is 2, and older pages are not believed. `Clock` moves from core.py to clock.py. Open: a scheduler that starts on a machine whose clock is an hour ahead takes a worker that its first whole list already names as cold for warm, if nothing but the list says so.

--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -17,9 +17,10 @@
 
 from . import __version__
 from .admin import Admin
+from .clock import Clock
 from .config import Address, Config, ConfigError, check_successor, load
 from .config import address as parse_address
-from .core import Clock, Core, Tasks
+from .core import Core, Tasks
 from .interface import Settings
 from .metrics import Counters, Sinks
 from .net import destinations as discovery
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import zlib
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterable, Sequence
@@ -20,6 +19,7 @@
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
+from .clock import Clock
 from .interface import (
     NEVER_RAN,
     Effect,
@@ -37,6 +37,7 @@
 from .ops.legacy import leave, read, take
 from .ops.out import Outs
 from .ops.retune import first, follow, settings_for
+from .start_times import StartTimes
 
 MAILBOX = 4096  # messages; requests past it are refused, everything else waits for room
 COPIES = 2  # attempts of a request that may be out together where the settings allow second copies
@@ -45,17 +46,6 @@
 EARLY_MS = 2.0  # the watchdog answers this long before a deadline that the Balancer let come
 
 
-class Clock:
-    """Milliseconds that never go back and agree with Unix time, so that start times need no mapping."""
-
-    def __init__(self) -> None:
-        self._base = time.time() * 1000.0 - time.monotonic() * 1000.0
-
-    def now(self) -> float:
-        """The time now."""
-        return self._base + time.monotonic() * 1000.0
-
-
 class Tasks:
     """Owns the tasks of one part; ``close`` is where all of them are given back."""
 
@@ -258,6 +248,7 @@
         self.figures = Figures()
         self.figures.know(self.class_names)
         self.outs = Outs(name)
+        self._starts = StartTimes()
         self._ever: dict[str, None] = {}  # ids that a source has named, the longest unlisted first
         self.clock = clock
         self.counters = counters
@@ -733,6 +724,7 @@
     def listed(self, source: str, kind: int, entries: Sequence[Listed]) -> None:
         """A source named destinations; FULL and CACHED name all of that source's."""
         self._able.clear()
+        self._starts.saw_clock(self.clock.stepped_ms())
         entries = list({e.name: e for e in entries}.values())  # named twice: the last word counts
         named = {e.name for e in entries}
         changes = list(entries)
@@ -751,8 +743,14 @@
         if kind != ListKind.CHANGES:
             told = [t for t in told if t.state != WorkerState.GONE]
         self.counters.add("lists.taken")
+        if kind != ListKind.CACHED:
+            self.heard_discovery()
         self.balancer.on_workers(self.clock.now(), kind, told)
 
+    def heard_discovery(self) -> None:
+        """Discovery answered, with news or without."""
+        self._starts.heard(self.clock.now())
+
     def _follow(self, source: str, entry: Listed) -> ListedWorker:
         key = (source, entry.name)
         number = self._numbers.get(key)
@@ -778,8 +776,9 @@
             if entry.state == WorkerState.READY and self.outs.holds(entry.name):
                 entry = replace(entry, state=WorkerState.DRAINING)
             known.listed = entry
+        started_at = self._starts.on_own_clock(f"{source}/{entry.name}", entry.started_ms, self.clock.now())
         return ListedWorker(entry.state, entry.kind, entry.cell, entry.weight, entry.zone, number,
-                            entry.started_ms, entry.able, known.identity)
+                            started_at, entry.able, known.identity)
 
     def ever_listed(self, name: str) -> bool:
         """Whether a source has named a destination, now or before."""
@@ -796,11 +795,12 @@
     def legacy(self) -> bytes:
         """What a successor may go on from."""
         names = {d.number: d.listed.name for d in self._destinations.values()}
-        return leave(self.balancer, self.outs.scheduler, self.clock.now(), dict(self.table.live), names)
+        return leave(self.balancer, self.outs.scheduler, self.clock.now(), dict(self.table.live), names,
+                     self.clock.base)
 
     def inherit(self, data: bytes) -> bool:
         """Go on from what a process of this scheduler left; False if there is nothing to believe."""
-        page = read(data, self.outs.scheduler, self.clock.now())
+        page = read(data, self.outs.scheduler, self.clock.now(), self.clock.base)
         if page is not None:
             numbers = {d.listed.name: d.number for d in self._destinations.values()}
             take(self.balancer, page, dict(self.table.live), numbers)
--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -204,6 +204,8 @@
         if entries or found.full:
             kind = ListKind.FULL if found.full else ListKind.CHANGES
             await self.core.post(lambda: self.core.listed(SOURCE, kind, entries))
+        else:
+            await self.core.post(self.core.heard_discovery)
         return bool(entries or found.full)
 
     def _entries(self, found: DestinationList) -> list[Listed]:
--- a/gaphub/net/gearman/functions.py
+++ b/gaphub/net/gearman/functions.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from ...core import Clock
+from ...clock import Clock
 from ...store import Store
 
 STORED = "config/functions/"  # the store's keys for them
--- a/gaphub/net/http/pool.py
+++ b/gaphub/net/http/pool.py
@@ -9,8 +9,8 @@
 import math
 from collections.abc import Iterable
 
+from ...clock import Clock
 from ...config import Address
-from ...core import Clock
 from ...metrics import Counters
 from . import tunables
 from .connection import Connection, ConnectionLostError
--- a/gaphub/ops/legacy.py
+++ b/gaphub/ops/legacy.py
@@ -13,8 +13,10 @@
 from ..logic import Balancer, Worker
 from .page import seal, unseal
 
-FORMAT = "gaphub-legacy-1"
+FORMAT = "gaphub-legacy-2"
 AGE_MS = 5_000.0  # an older page is of a process that ended, or stood still
+SAME_START_MS = 5.0  # two processes reckon one start alike but for so much
+MOMENTS = ("served_at", "began")  # of what is measured: moments of the clock
 MEASURED = ("service", "ran", "mean_cost", "served_cost", "served_at", "strain", "local_busy", "began")
 
 
@@ -29,19 +31,24 @@
 
 
 class Legacy(msgspec.Struct, frozen=True):
-    """What is left; times in ms of Unix time."""
+    """What is left; times in ms of the clock of the process that wrote it."""
 
     format: str
     scheduler: str
     at: float
+    base: float  # what that clock adds to the machine's monotonic one, which all processes share
     values: dict[str, float]
     free: dict[int, tuple[float, float]]  # by kind: the mean of idle workers' free slots, and the most seen
     classes: dict[str, Profile]
     cold: dict[str, tuple[float, float, float, float]]  # start, the two allowances, when they were last so
 
 
-def leave(balancer: Balancer, scheduler: str, now: float, live: dict[str, int], names: dict[int, str]) -> bytes:
-    """A page for the successor; ``live``: class names and rows, ``names``: the workers' ids by number."""
+def leave(balancer: Balancer, scheduler: str, now: float, live: dict[str, int], names: dict[int, str],
+          base: float = 0.0) -> bytes:
+    """A page for the successor; ``live``: class names and rows, ``names``: the workers' ids by number.
+
+    ``base``: what the clock adds to the machine's monotonic one.
+    """
     rows = {}
     for name, row in live.items():
         t = balancer.class_types[row]
@@ -50,17 +57,31 @@
     r = balancer.reports
     cold = {names[w.id]: (w.ready_at, w.cold_tokens, w.cold_heavy, w.cold_at)
             for w in balancer.fleet.workers.values() if w.ready_at > 0.0 and w.id in names}
-    page = Legacy(FORMAT, scheduler, now, {key: float(getattr(balancer, key)) for key in MEASURED},
+    page = Legacy(FORMAT, scheduler, now, base, {key: float(getattr(balancer, key)) for key in MEASURED},
                   {kind: (mean, r.most_free.get(kind, mean)) for kind, mean in r.idle_free.items()}, rows, cold)
     return seal(msgspec.json.encode(page))
 
 
-def read(data: bytes, scheduler: str, now: float) -> Legacy | None:
-    """A page; None if it is torn, old, of another form or of another scheduler."""
+def read(data: bytes, scheduler: str, now: float, base: float = 0.0) -> Legacy | None:
+    """A page, its moments on this clock; None if it is torn, old, of another form or of another scheduler."""
     page = unseal(data, Legacy)
-    if page is None or page.format != FORMAT or page.scheduler != scheduler or not 0.0 <= now - page.at <= AGE_MS:
+    if page is None or page.format != FORMAT or page.scheduler != scheduler:
         return None
-    return page
+    # By the monotonic clock: the wall clock may have been stepped between the starts of the two processes.
+    page = _moved(page, base - page.base)
+    return page if 0.0 <= now - page.at <= AGE_MS else None
+
+
+def _moved(page: Legacy, by: float) -> Legacy:
+    """The same page with all its moments later by so much."""
+    values = {key: value + by if key in MOMENTS else value for key, value in page.values.items()}
+    classes = {name: msgspec.structs.replace(profile, samples={
+        worker: (weight, total, at + by) for worker, (weight, total, at) in profile.samples.items()})
+        for name, profile in page.classes.items()}
+    cold = {worker: (started + by, light, heavy, at + by if at >= 0.0 else at)
+            for worker, (started, light, heavy, at) in page.cold.items()}
+    return msgspec.structs.replace(page, at=page.at + by, base=page.base + by, values=values, classes=classes,
+                                   cold=cold)
 
 
 def take(balancer: Balancer, page: Legacy, live: dict[str, int], numbers: dict[str, int]) -> None:
@@ -85,5 +106,5 @@
                 t.samples[number] = [*sample, workers[number].kind]
     for worker, (started, light, heavy, at) in page.cold.items():
         w = workers.get(numbers.get(worker, 0))
-        if w is not None and w.ready_at == started:
+        if w is not None and abs(w.ready_at - started) <= SAME_START_MS:
             w.cold_tokens, w.cold_heavy, w.cold_at = light, heavy, at
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from gaphub.core import Answer, Call, Clock, Core, Destination, Ending, Job, Listed, Outcome, Tasks
+from gaphub.clock import Clock
+from gaphub.core import Answer, Call, Core, Destination, Ending, Job, Listed, Outcome, Tasks
 from gaphub.interface import ClassSettings, Effect, Group, ListKind, Settings, Status, TenantSettings, WorkerState
 from gaphub.logic import Balancer
 from gaphub.metrics import Counters
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,7 +19,7 @@
 
 import pytest
 
-from gaphub.core import Clock
+from gaphub.clock import Clock
 from gaphub.lab.world import Workers
 from gaphub.metrics import Counters
 from gaphub.net.gearman import Gearman
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -10,7 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gaphub.core import Clock, Core, Listed
+from gaphub.clock import Clock
+from gaphub.core import Core, Listed
 from gaphub.interface import ClassSettings, ListKind, Settings, WorkerState
 from gaphub.metrics import Counters
 from gaphub.net.destinations import AGAIN_S, BUSY_S, QUICK
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -267,8 +267,9 @@
 
 
 def test_worker_numbers_are_those_of_the_core() -> None:
+    from gaphub.clock import Clock
     from gaphub.config import read_settings
-    from gaphub.core import Clock, Core, Listed
+    from gaphub.core import Core, Listed
     from gaphub.interface import ListKind, WorkerState
     from gaphub.lab.site import SETTINGS
     from gaphub.metrics import Counters
