Tests: SIGHUP with shorter deadlines after SIGTERM, red

Cause: SIGKILL comes by the deployment's longest deadline. Settings that come after SIGTERM may shorten it, and the scheduler went on by the old one, past the earliest SIGKILL (signals in series: SIGTERM, SIGHUP).

--- a/tests/test_shutdown_limits.py
+++ b/tests/test_shutdown_limits.py
@@ -115,3 +115,29 @@
         await asyncio.wait(crowd)
 
     play(Site(tmp_path, 0.01).play(course), WITHIN_S)
+
+
+# SIGHUP after SIGTERM brings shorter deadlines, and with them an earlier SIGKILL.
+def test_new_settings_after_sigterm_bring_the_end_nearer(tmp_path: Path) -> None:
+    site = Site(tmp_path, 0.01, grades=[{**CLASSES[0], "deadline": 3000.0}])
+
+    async def course(one: Process) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", one.listen)
+        writer.write(request("first", 3000.0))
+        assert b" 200 " in await reader.read(4096)
+        began = asyncio.get_running_loop().time()
+        one.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        one.reload(settings={**site.settings, "grades": CLASSES})
+        got = b""
+        with suppress(OSError):
+            while True:  # it uses its connection for as long as that stays open
+                writer.write(request(f"r{asyncio.get_running_loop().time()}"))
+                if not (answer := await reader.read(4096)):
+                    break
+                got += answer
+                await asyncio.sleep(0.05)
+        assert asyncio.get_running_loop().time() - began < KILL_S
+        assert statuses(got)
+
+    play(site.play(course), WITHIN_S)
