Leaving: settings that come after SIGTERM bring the end nearer

Cause: `Drain.begin` reckoned `ends_at` once. Change: `Drain.hasten` takes the longest deadline in force at each look; it only ever shortens the time.

--- a/gaphub/net/http/drain.py
+++ b/gaphub/net/http/drain.py
@@ -21,8 +21,12 @@
     def begin(self, now: float, longest_ms: float) -> None:
         """SIGTERM has come; ``longest_ms``: the longest deadline of a class."""
         self.told_at = now
-        killed_at = now + min(longest_ms, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS
-        self.ends_at = killed_at - tunables.LEAVE_SLACK_MS
+        self.hasten(longest_ms)
+
+    def hasten(self, longest_ms: float) -> None:
+        """The longest deadline is this now: new settings may come after SIGTERM, and bring SIGKILL nearer."""
+        killed_at = self.told_at + min(longest_ms, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS
+        self.ends_at = min(self.ends_at, killed_at - tunables.LEAVE_SLACK_MS)
 
     def may_begin(self, job: Job, cls: ClassSettings) -> bool:
         """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -106,9 +106,7 @@
         ``place``: whether it began to listen after this one (``SECOND``) or before (``FIRST``).
         """
         now = self.core.clock.now
-        # Of the classes in force: rows of others are kept for open jobs, and SIGKILL does not wait for those.
-        longest = max(self.core.settings.classes[row].deadline_ms for row in self.core.table.live.values())
-        self.drain.begin(now(), longest)
+        self.drain.begin(now(), self._longest_deadline_ms())
         if successor:
             self.drain.leaving = True
             if self._listener is not None:
@@ -122,9 +120,11 @@
         while (successor and self.sessions or not (successor or others_serve())) \
                 and now() < self.drain.ends_at - tunables.LEAVE_LEAST_MS:
             await asyncio.sleep(0.02)
+            self.drain.hasten(self._longest_deadline_ms())
         self.drain.leaving = True
         while True:
             while self.sessions or self.core.open_jobs:
+                self.drain.hasten(self._longest_deadline_ms())
                 if now() < self.drain.ends_at:
                     self._close_resting(now() - tunables.IDLE_LEAVING_S * 1000.0)
                 else:
@@ -137,6 +137,10 @@
             # a process that ends would reset it with its request unread.
             await self._stop_accepting()
 
+    def _longest_deadline_ms(self) -> float:
+        """Of the classes in force: rows of others are kept for open jobs, and SIGKILL does not wait for those."""
+        return max(self.core.settings.classes[row].deadline_ms for row in self.core.table.live.values())
+
     def _hurry(self) -> None:
         """Close what rests and end what is half read, with an error: SIGKILL may come in a moment.
 
