--- a/gaphub/ops/shelf.py
+++ b/gaphub/ops/shelf.py
@@ -19,7 +19,7 @@
 from ..metrics import Counters
 from .out import Outs
 
-LOOK_S = 0.2  # between two looks at the page: well within the second that a drain may take
+LOOK_S = 0.05  # between two looks at the page: well within the shortest grace of a drain, 250 ms, and a hold-up
 LEAVE_S = 1.0  # between two pages of what was measured
 PAGE_MOST = 4 * 1024 * 1024  # bytes
 
