Tests: connections that break by ETIMEDOUT and the like, short reads and writes

Change: tests alone: five errors of a read at a worker's and at the agent's connection, reads of 7 and writes of 5 bytes.

--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -202,3 +202,77 @@
                 workers.close()
 
     asyncio.run(play())
+
+
+# --- reading and writing -------------------------------------------------------------------------------
+
+BREAKS = [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET, errno.EPIPE, errno.ENETDOWN]
+
+
+@pytest.fixture
+def breaks(monkeypatch: pytest.MonkeyPatch) -> list[tuple[int, int]]:
+    """The port of the other side, and the error that the next read from there shows."""
+    recv = socket.socket.recv
+    left: list[tuple[int, int]] = []
+
+    def read_or_break(self: socket.socket, size: int) -> bytes:
+        if left and self.getpeername()[1] == left[0][0]:
+            raise failing(left.pop()[1])
+        return recv(self, size)
+
+    monkeypatch.setattr(socket.socket, "recv", read_or_break)
+    return left
+
+
+@pytest.mark.parametrize("number", BREAKS)
+def test_a_worker_s_connection_that_breaks_in_any_way_is_a_break(
+        number: int, breaks: list[tuple[int, int]]) -> None:
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE + "c send job vyuctovani r1 ab\nw expect r1.*ab")
+            breaks.append((cast.ports["w"], number))
+            await cast.play("""
+                w send lines r1 done=one .
+                c expect HTTP/1.1 502
+                count calls.reset 1
+                count calls.sent 1
+            """)
+            assert not breaks
+            await cast.play("""
+                c send job poloha r2
+                w next
+                w expect r2
+                w send lines r2 done=two .
+                c expect 200 .*two
+            """)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("number", BREAKS)
+def test_an_agent_s_connection_that_breaks_in_any_way_is_opened_anew(
+        number: int, breaks: list[tuple[int, int]]) -> None:
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE)
+            breaks.append((cast.ports["d"], number))
+            await cast.play("""
+                d send list 42 changes w=leaving x=active
+                d next
+                d expect index=41
+                d send list 42 changes w=leaving x=active
+                d expect index=42
+                c send job poloha r1
+                x expect r1
+                x send lines r1 done=ok .
+                c expect 200
+            """)
+
+    asyncio.run(run())
+
+
+def test_writes_and_reads_that_are_short_lose_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    recv, send = socket.socket.recv, socket.socket.send
+    monkeypatch.setattr(socket.socket, "recv", lambda self, size: recv(self, min(size, 7)))
+    monkeypatch.setattr(socket.socket, "send", lambda self, data, *more: send(self, data[:5], *more))
+    play_served()
