--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -20,7 +20,7 @@
 from .clock import Clock
 from .config import Address, Config, ConfigError, check_successor, load
 from .config import address as parse_address
-from .core import Core, Tasks
+from .core import Core
 from .interface import Settings
 from .metrics import Counters, Sinks
 from .net import destinations as discovery
@@ -36,6 +36,7 @@
 from .ops.retune import TAKEN
 from .ops.shelf import Shelf
 from .store import Store
+from .tasks import Tasks
 
 if TYPE_CHECKING:
     from .service import ServiceAddress
--- a/gaphub/announce/announcer.py
+++ b/gaphub/announce/announcer.py
@@ -11,8 +11,8 @@
 from typing import Any, Protocol
 
 from ..config import AddressFront, BgpFront, address
-from ..core import Tasks
 from ..metrics import Counters
+from ..tasks import Tasks
 from .bgp import Update
 from .session import Session, Speaker, State
 from .speaker import BfdSpeaker, BgpSpeaker
--- a/gaphub/cluster/node.py
+++ b/gaphub/cluster/node.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from ..config import Address, ClusterFront, ConfigError, address
-from ..core import Tasks
 from ..metrics import Counters
+from ..tasks import Tasks
 from .detector import Detector
 from .election import Election
 from .envelope import SIZE, Link
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -11,17 +11,13 @@
 import asyncio
 import zlib
 from collections import deque
-from collections.abc import Callable, Coroutine, Iterable, Sequence
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from functools import partial
-from hashlib import blake2b
 from heapq import heappop, heappush
-from typing import Any, Protocol
 
 from .clock import Clock
 from .interface import (
-    NEVER_RAN,
     Effect,
     Group,
     ListedWorker,
@@ -32,6 +28,20 @@
     WorkerState,
 )
 from .logic import Balancer
+from .messages import (
+    NOWHERE,
+    Answer,
+    Call,
+    CallPort,
+    Destination,
+    Ending,
+    Job,
+    Listed,
+    ListPort,
+    Outcome,
+    PeerPort,
+    identity,
+)
 from .metrics import Counters
 from .ops.figures import Figures
 from .ops.legacy import leave, read, take
@@ -41,202 +51,10 @@
 
 MAILBOX = 4096  # messages; requests past it are refused, everything else waits for room
 COPIES = 2  # attempts of a request that may be out together where the settings allow second copies
-CANCEL_AGAIN_S = 0.5  # a task that is to end and has not by then is cancelled once more
 EVER_MOST = 65_536  # ids of destinations that were once listed; the longest unlisted is forgotten
 EARLY_MS = 2.0  # the watchdog answers this long before a deadline that the Balancer let come
 
 
-class Tasks:
-    """Owns the tasks of one part; ``close`` is where all of them are given back."""
-
-    def __init__(self, counters: Counters) -> None:
-        self._counters = counters
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run a coroutine as a task of this owner."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._done)
-        return task
-
-    def _done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self._counters.log("task_failed", repr(error))
-
-    async def close(self) -> None:
-        """Cancel what still runs and wait for its end."""
-        while self._tasks:
-            for task in self._tasks:
-                task.cancel()
-            await asyncio.wait(self._tasks, timeout=CANCEL_AGAIN_S)  # one may have taken it for another's end
-
-
-class Ending(Enum):
-    """The final answer of a request."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-class Fence(Protocol):
-    """A right to serve that may end at any moment, such as the lease of a service address."""
-
-    return_ms: float  # when a client that is refused for want of it may come back
-
-    def holds(self) -> bool:
-        """Whether it is valid at this moment, by the clock: asked anew before each side effect."""
-
-
-@dataclass(slots=True)
-class Answer:
-    """A final answer on its way to the front that took the request."""
-
-    ending: Ending
-    body: bytes = b""
-    retry_after_ms: float = 0.0
-
-
-@dataclass(slots=True)
-class Job:
-    """A request as a front took it; ``reply`` is called once with the final answer."""
-
-    ident: str
-    class_index: int
-    received_at: float
-    left_ms: float
-    reply: Callable[[Answer], None]
-    body: bytes = b""
-    method: str = "POST"
-    target: str = "/api"
-    key: int = 0
-    slots: float = 1.0
-    memory: float = 0.0
-    is_retry: bool = False
-    passed: tuple[tuple[bytes, bytes], ...] = ()  # further headers that a worker gets as they came
-    news: Callable[[str, tuple[bytes, ...]], None] | None = None  # what its front wants to hear meanwhile
-    front: object = None  # the front's own record of it
-    told_ms: float = 0.0  # what the Balancer is told is left; 0: what is left
-    fence: Fence | None = None  # what must hold while it is taken and sent; None: nothing
-    left: Callable[[], float] | None = None  # since when its client is known to have left, 0: it has not
-    number: int = 0
-    ends: float = 0.0
-    most_calls: int = 0  # as the settings allowed when it was taken
-    answered: bool = False
-    why: str = ""  # behind a colon, why the Balancer gave it up
-    ending: str = "gone"  # the final answer, and why
-    answered_ms: float = 0.0  # after it was received
-    calls: list[Call] = field(default_factory=list)
-    open_calls: int = 0
-
-
-@dataclass(slots=True)
-class Listed:
-    """One destination as a source of the destination set names it."""
-
-    name: str
-    addr: str
-    state: int
-    kind: int = 0
-    cell: int = 0
-    weight: float = 1.0
-    zone: int = 0
-    started_ms: float = 0.0
-    able: int = -1  # the classes it can run, a bit for each; -1: any
-
-
-def identity(source: str, name: str) -> int:
-    """A worker's number that depends on its name alone: 64 bits, so that no two of a fleet share one."""
-    return int.from_bytes(blake2b(f"{source}/{name}".encode(), digest_size=8).digest(), "big")
-
-
-@dataclass(slots=True)
-class Destination:
-    """A worker that may be called, and the port that reaches it."""
-
-    number: int
-    source: str
-    listed: Listed  # as it is to be used: one that is out by hand drains
-    said: int = WorkerState.READY  # its state as its source says
-    identity: int = 0  # the same at every scheduler
-
-
-NOWHERE = Destination(0, "", Listed("", "", WorkerState.GONE))  # of a call that was not allowed
-
-
-@dataclass(slots=True)
-class Call:
-    """One attempt.  ``over`` is set by its port when the outcome is fixed."""
-
-    job: Job
-    index: int
-    destination: Destination
-    sent_at: float
-    ends: float
-    over: bool = False
-    written: bool = False  # set by its port just before the last byte leaves
-    timed_out: bool = False
-    took_ms: float = 0.0
-    status: Status | None = None
-    begun: bool = False  # set by its port when it first works on it
-    begun_at: float = 0.0  # when its first byte was about to leave, the last time; 0: never
-    started_at: float = 0.0  # when its worker told that it runs; 0: it never did
-    to: Listed | None = None  # its destination as it was listed when it was sent
-
-    @property
-    def never_ran(self) -> bool:
-        """Whether it is proved that this attempt did not run."""
-        return self.status in NEVER_RAN or (self.status == Status.CANCELLED and not self.written)
-
-
-@dataclass(slots=True)
-class Outcome:
-    """How a call ended."""
-
-    status: Status
-    body: bytes = b""
-    report: tuple[float, ...] = ()
-    at_fault: bool = False  # with ERROR: the worker says that the request itself is wrong
-
-
-class CallPort(Protocol):
-    """What reaches the destinations of one source."""
-
-    def start(self, call: Call) -> Outcome | None:
-        """Begin a call; its outcome if it ended at once, else ``Core.ended`` must follow once."""
-
-    def cancel(self, call: Call) -> Outcome | None:
-        """Stop waiting for a call and close its connection; its outcome, as with ``start``."""
-
-    def probe(self, destination: Destination) -> tuple[Status, tuple[float, ...]] | None:
-        """Check a destination; how and its report if known at once, else ``Core.probed`` must follow."""
-
-    def close_idle(self, destination: Destination) -> None:
-        """Close idle connections."""
-
-    def forget(self, destination: Destination) -> None:
-        """The destination is gone or restarted: its idle connections are of no use."""
-
-
-class ListPort(Protocol):
-    """What asks discovery for more than it says by itself."""
-
-    def watch(self, on: bool) -> None:
-        """Follow changes, or stop."""
-
-    def fetch(self) -> None:
-        """Ask once for the whole list."""
-
-
-class PeerPort(Protocol):
-    """What reaches the other schedulers."""
-
-    def tell(self, peer: int, data: bytes) -> None:
-        """Send a datagram to one peer, or all (-1)."""
-
-
 class Core:
     """The actor.  Fronts and ports reach it by ``offer`` and ``post`` only."""
 
--- a/gaphub/lab/clients.py
+++ b/gaphub/lab/clients.py
@@ -12,8 +12,8 @@
 from typing import NamedTuple
 
 from ..config import Address
-from ..core import Tasks
 from ..metrics import Counters
+from ..tasks import Tasks
 from .world import read_head
 
 WORTH = {"poloha": 3.0, "udalost": 2.0, "vyuctovani": 10.0}
--- a/gaphub/lab/front.py
+++ b/gaphub/lab/front.py
@@ -17,8 +17,8 @@
 from ..announce.speaker import BfdSpeaker
 from ..cluster.node import steady_ms
 from ..config import Address
-from ..core import Tasks
 from ..metrics import Counters
+from ..tasks import Tasks
 
 ROUTER_AS, SITE_AS = 65000, 65010
 NOTICE_S = (0.92, 2.5)  # the plain front notices a dead daemon within
--- a/gaphub/lab/scale/hollow_sharded.py
+++ b/gaphub/lab/scale/hollow_sharded.py
@@ -22,7 +22,7 @@
 from math import inf
 from typing import NamedTuple
 
-from ...core import identity
+from ...messages import identity
 from ...net.destinations import SOURCE
 from ...net.peers import BEAT, BEAT_S
 from ...occupancy.aggregator import Aggregator
--- a/gaphub/net/destinations.py
+++ b/gaphub/net/destinations.py
@@ -14,8 +14,9 @@
 import msgspec
 
 from ..config import GARBLED, Address, Config, ConfigError, DestinationList, ListedEntry, address
-from ..core import Core, Listed
+from ..core import Core
 from ..interface import ListKind, WorkerState
+from ..messages import Listed
 from ..metrics import Counters
 from .http import Connection, ConnectionLostError, NeverWrittenError
 
--- a/gaphub/net/gearman/ends.py
+++ b/gaphub/net/gearman/ends.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ...core import Ending
+from ...messages import Ending
 
 Key = tuple[bytes, bytes]  # function and unique
 
--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -23,7 +23,7 @@
 from heapq import heapify, heappop, heappush
 
 from ...config import Config, ConfigError
-from ...core import Answer, Call, Core, Destination, Ending, Fence, Job, Listed, Outcome, Tasks
+from ...core import Core
 from ...gearman.codec import (
     CAN_DO,
     CAN_DO_TIMEOUT,
@@ -68,8 +68,10 @@
 from ...gearman.queues import Bounds, Queues, Waiting
 from ...gearman.schedule import Schedule, epoch, next_moment
 from ...interface import Effect, ListKind, Status, WorkerState
+from ...messages import Answer, Call, Destination, Ending, Fence, Job, Listed, Outcome
 from ...metrics import Counters
 from ...store import Store
+from ...tasks import Tasks
 from .ends import End, Ends
 from .functions import Functions
 from .session import Assigned, Session, Work
--- a/gaphub/net/gearman/session.py
+++ b/gaphub/net/gearman/session.py
@@ -9,9 +9,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from ...core import Call, Job
 from ...gearman.codec import pack
 from ...gearman.queues import Waiting
+from ...messages import Call, Job
 
 WRITE_MOST = 4 * 1024 * 1024  # bytes that a peer may leave unread before its session ends
 
--- a/gaphub/net/http/answer.py
+++ b/gaphub/net/http/answer.py
@@ -13,8 +13,9 @@
 import msgspec
 
 from ...config import GARBLED
-from ...core import Call, Core, Outcome
+from ...core import Core
 from ...interface import Status
+from ...messages import Call, Outcome
 from ...metrics import Counters
 from . import tunables
 from .connection import Connection, ConnectionLostError
--- a/gaphub/net/http/drain.py
+++ b/gaphub/net/http/drain.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-from ...core import Job
 from ...interface import ClassSettings, Effect
+from ...messages import Job
 from . import tunables
 
 
--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -15,7 +15,8 @@
 import h11
 import msgspec
 
-from ...core import Answer, Core, Ending, Fence, Job
+from ...core import Core
+from ...messages import Answer, Ending, Fence, Job
 from ...metrics import Counters
 from . import tunables
 from .drain import Drain
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -12,8 +12,10 @@
 from contextlib import suppress
 
 from ...config import Address, Config
-from ...core import Core, Fence, Tasks
+from ...core import Core
+from ...messages import Fence
 from ...metrics import Counters
+from ...tasks import Tasks
 from . import reuseport, tunables
 from .drain import Drain
 from .handler import RequestHandler
--- a/gaphub/net/http/outbound.py
+++ b/gaphub/net/http/outbound.py
@@ -13,9 +13,11 @@
 import h11
 
 from ...config import Config, address
-from ...core import Call, Core, Destination, Outcome, Tasks
+from ...core import Core
 from ...interface import Effect, Status
+from ...messages import Call, Destination, Outcome
 from ...metrics import Counters
+from ...tasks import Tasks
 from . import tunables
 from .answer import AnswerReader
 from .connection import Connection, ConnectionLostError, EarlyAnswerError, NeverWrittenError
--- a/gaphub/net/http/probe.py
+++ b/gaphub/net/http/probe.py
@@ -9,8 +9,9 @@
 
 import h11
 
-from ...core import Core, Destination
+from ...core import Core
 from ...interface import Status
+from ...messages import Destination
 from . import tunables
 from .answer import parse_load
 from .connection import Connection, ConnectionLostError, NeverWrittenError
--- a/gaphub/net/http/request.py
+++ b/gaphub/net/http/request.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from ...core import Answer, Job
+from ...messages import Answer, Job
 from . import tunables
 
 
--- a/gaphub/net/ops.py
+++ b/gaphub/net/ops.py
@@ -17,8 +17,8 @@
 import msgspec
 
 from ..config import Address
-from ..core import Tasks
 from ..metrics import Counters
+from ..tasks import Tasks
 
 READ = 4096
 HEAD_MOST = 8192  # bytes of a call's head
--- a/gaphub/net/peers.py
+++ b/gaphub/net/peers.py
@@ -10,10 +10,11 @@
 import asyncio
 
 from ..config import Address, Config
-from ..core import Core, Tasks
+from ..core import Core
 from ..metrics import Counters
 from ..occupancy.choice import is_read
 from ..store import DATAGRAM, MAGIC, GarbledDatagramError, Store
+from ..tasks import Tasks
 
 MAILBOX = 64  # datagrams of one peer that wait; more are dropped, as the network may drop any
 NEWS = 4  # datagrams with changes for one peer in a round
--- a/gaphub/service.py
+++ b/gaphub/service.py
@@ -14,8 +14,9 @@
 from .cluster.node import Node
 from .cluster.types import Move
 from .config import Config
-from .core import Core, Tasks
+from .core import Core
 from .metrics import Counters
+from .tasks import Tasks
 
 LINGERS = ("handed over", "unready", "preempted")  # ends of a lease after which the successor is at hand
 
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -19,8 +19,9 @@
 from gaphub.cluster import keyring
 from gaphub.cluster.node import Node, steady_ms
 from gaphub.cluster.types import Move
-from gaphub.core import Core, Job
+from gaphub.core import Core
 from gaphub.interface import Status
+from gaphub.messages import Job
 from gaphub.metrics import Counters
 from gaphub.net import destinations, http
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,10 +12,12 @@
 import pytest
 
 from gaphub.clock import Clock
-from gaphub.core import Answer, Call, Core, Destination, Ending, Job, Listed, Outcome, Tasks
+from gaphub.core import Core
 from gaphub.interface import ClassSettings, Effect, Group, ListKind, Settings, Status, TenantSettings, WorkerState
 from gaphub.logic import Balancer
+from gaphub.messages import Answer, Call, Destination, Ending, Job, Listed, Outcome
 from gaphub.metrics import Counters
+from gaphub.tasks import Tasks
 
 SETTINGS = Settings(classes=(ClassSettings(500.0, 5000.0, late_worth=0.2),
                              ClassSettings(1000.0, 9000.0, effect=Effect.UNSAFE)),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,9 +17,10 @@
 
 import pytest
 
-from gaphub.core import Call, Core
+from gaphub.core import Core
 from gaphub.lab import requests
 from gaphub.lab.answers import Answers
+from gaphub.messages import Call
 from gaphub.net import destinations, http
 from gaphub.net.gearman import Gearman
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from gaphub.clock import Clock
-from gaphub.core import Core, Listed
+from gaphub.core import Core
 from gaphub.interface import ClassSettings, ListKind, Settings, WorkerState
+from gaphub.messages import Listed
 from gaphub.metrics import Counters
 from gaphub.net.destinations import AGAIN_S, BUSY_S, QUICK
 
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -269,9 +269,10 @@
 def test_worker_numbers_are_those_of_the_core() -> None:
     from gaphub.clock import Clock
     from gaphub.config import read_settings
-    from gaphub.core import Core, Listed
+    from gaphub.core import Core
     from gaphub.interface import ListKind, WorkerState
     from gaphub.lab.site import SETTINGS
+    from gaphub.messages import Listed
     from gaphub.metrics import Counters
 
     core = Core(read_settings({**SETTINGS, "me": 0, "balancers": 1}), 1, Clock(), Counters())
--- a/tests/test_scale_sharded.py
+++ b/tests/test_scale_sharded.py
@@ -9,13 +9,13 @@
 import msgspec
 import pytest
 
-from gaphub.core import identity
 from gaphub.lab.scale import runner
 from gaphub.lab.scale.hollow import HollowPlan, worker_name, worker_number
 from gaphub.lab.scale.hollow_sharded import ShardedFleet
 from gaphub.lab.scale.points import Load, Machine, Measured, Point, Told
 from gaphub.lab.scale.scenario import Scenario, Sweeps, Way, told
 from gaphub.lab.scale.series import Sourced, sort_points
+from gaphub.messages import identity
 from gaphub.net.destinations import SOURCE
 from gaphub.net.peers import BEAT
 from gaphub.occupancy.all_to_all import AllToAll
