Tests: the cold budget's test names the fullest window, for a failure's trace

Cause: "groups do not hear each other" failed once beside load, and what stood in its window was not seen.

No course and no figure of the test changed.

Read, not proven: where counts are heard, a cold worker with nothing out is open to every scheduler until the first count arrives (`logic._cold_allows`), so datagrams that are 50 ms late on a starved machine let 24 schedulers send a job each, 14.1 mean ones where 14.0 are allowed.

--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -93,16 +93,32 @@
         self._next()
 
 
-def most_over(server: Server, attempts: Sequence[Attempt], fall_ms: float) -> tuple[float, float, float]:
-    """Of the windows that begin with an attempt at a cold worker the fullest, by its budget: share, work, N."""
+@dataclass
+class Window:
+    """What a cold worker got in one window, and its budget there, in mean requests."""
+
+    attempts: list[Attempt]
+    work: float
+    budget: float  # N
+
+    @property
+    def share(self) -> float:
+        """Of what is allowed, with what is put down to chance."""
+        return self.work / (self.budget + 2.0 * float(self.budget ** 0.5) + 2.0)
+
+    def __str__(self) -> str:
+        return " ".join(f"{(a.first - self.attempts[0].first) * 1e3:.0f}:{a.cls}" for a in self.attempts)
+
+
+def fullest(server: Server, attempts: Sequence[Attempt], fall_ms: float) -> Window:
+    """Of the windows that begin with an attempt at a cold worker the fullest, by its budget."""
     fall_s = fall_ms / 1e3
-    worst = (0.0, 0.0, 0.0)
+    worst = Window([], 0.0, 0.0)
     for n, begin in enumerate(attempts):
-        inside = itertools.takewhile(lambda a: a.first < begin.first + fall_s, attempts[n:])  # noqa: B023
+        inside = list(itertools.takewhile(lambda a: a.first < begin.first + fall_s, attempts[n:]))  # noqa: B023
         work = sum(WORK_MS[a.cls] / MEAN_MS for a in inside)
         can = server.capacity * fall_ms * (server.warmth(begin.first) + server.warmth(begin.first + fall_s)) / 2
-        budget = MULTIPLE * can
-        worst = max(worst, (work / (budget + 2.0 * budget ** 0.5 + 2.0), work, budget))
+        worst = max(worst, Window(inside, work, MULTIPLE * can), key=lambda window: window.share)
     return worst
 
 
@@ -192,7 +208,7 @@
 }
 
 
-async def course(case: Case, seed: int) -> list[tuple[float, float, float]]:
+async def course(case: Case, seed: int) -> list[Window]:
     """Play one; the fullest window of each worker that came back."""
     rng = random.Random(seed)
     servers = [Server(rng, case.slots, case.times, case.refuses) for _ in range(case.warm + case.cold)]
@@ -239,16 +255,17 @@
         for worker in workers:
             worker.close()
     cold = zip(servers[case.warm:], workers[case.warm:], strict=True)
-    return [most_over(s, w.attempts, case.fall_ms) for s, w in cold]
+    return [fullest(s, w.attempts, case.fall_ms) for s, w in cold]
 
 
 @pytest.mark.parametrize("name", CASES)
 def test_a_cold_worker_is_sent_no_more_than_its_budget_by_all_together(name: str) -> None:
     async def work() -> None:
         found = await course(CASES[name], 11)
-        print("FOUND", name, found)
-        assert all(share <= 1.0 for share, _, _ in found), found
-        assert any(work > 0.0 for _, work, _ in found), "nobody sent anything there"
+        for window in found:  # which window it was is what a failure is traced by
+            print(f"{name}: {window.share:.2f} of what is allowed, N {window.budget:.1f}; {window}")
+        assert all(window.share <= 1.0 for window in found), found
+        assert any(window.work > 0.0 for window in found), "nobody sent anything there"
 
     play(work(), WITHIN_S)
 
