Tests: a whole attempt on a new connection is stamped when it may have come, not when read

The worker's stand-in stamped the last byte of a new connection's first attempt by the look before, though those bytes may have come before the connection was accepted, as the stamp of the first byte next to it allows for; a harness held up for 0.2 s made attempts look later than they were, against the module's own promise. Ruled out: the accept queue of the scheduler (test_deadline_told covers it).

Change: one moment serves for both stamps. No check is looser: on a connection in use the stamp is as it was.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -117,8 +117,9 @@
         self.worker.conversations.discard(self)
 
     def data_received(self, data: bytes) -> None:
+        came = stamped().earliest if self.heard else self.accepted
         if not self.data:
-            self.first = stamped().earliest if self.heard else self.accepted
+            self.first = came
         self.heard = True
         self.data += data
         if self.open is None and b"\r\nX-Request-ID: " in self.data and b"\r\n\r\n" in self.data:
@@ -130,7 +131,7 @@
             lines, _, body = self.data.partition(b"\r\n\r\n")
             if len(body) >= int(_header(lines.decode("latin-1"), "Content-Length")):
                 attempt, self.open, self.data = self.open, None, b""
-                attempt.whole = stamped().earliest
+                attempt.whole = came
                 self.worker.behave(attempt, self)
 
     def say(self, status: str, body: bytes = b"", *headers: str) -> None:
