--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -39,19 +39,6 @@
     return f"send HTTP/1.1 200 OK\\r\\nContent-Length: {len(body)}\\r\\n\\r\\n{body}"
 
 
-@pytest.fixture
-def cores(monkeypatch: pytest.MonkeyPatch) -> list[Core]:
-    """The cores of the schedulers that a test starts."""
-    found: list[Core] = []
-    make = Core.__init__
-
-    def noted(self: Core, *args: Any, **more: Any) -> None:
-        make(self, *args, **more)
-        found.append(self)
-
-    monkeypatch.setattr(Core, "__init__", noted)
-    return found
-
 # --- a client leaves ---------------------------------------------------------------------------------
 
 LEAVES = {
--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -23,20 +23,6 @@
 ONE = "d expect index=41\n"
 
 
-@pytest.fixture
-def cores(monkeypatch: pytest.MonkeyPatch) -> list[Core]:
-    """The cores of the schedulers that a test starts."""
-    found: list[Core] = []
-    make = Core.__init__
-
-    def noted(self: Core, *args: Any, **more: Any) -> None:
-        make(self, *args, **more)
-        found.append(self)
-
-    monkeypatch.setattr(Core, "__init__", noted)
-    return found
-
-
 def ready_since_ms(core: Core) -> float:
     """For how long its one worker has been ready, as the decisions see it; ms of the scheduler's clock."""
     worker, = core.balancer.fleet.workers.values()
