Tests: a process held up while it connects blames the worker, red

What was looked for are ways to a 503 with workers free: connecting is given 150 ms; where the process itself is held up for longer, the event loop handles the socket and the timer in one turn, and the timer wins. Both workers then count as out of reach at once, and nobody is left.

The test puts the hold-up (0.16 s and 0.4 s) between connect(2) and the next look at the socket.

--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -9,6 +9,7 @@
 import errno
 import os
 import socket
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,7 @@
 SERVED = ONE + "c send job poloha r1\nw expect r1\nw send lines r1 done=one .\nc expect 200 .*one"
 ACCEPT_FAILS = [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EINTR, errno.EPERM]
 CONNECT_FAILS = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS]
+CONNECT_CALLED = 3  # turns of the event loop after which a task that opens a connection has called connect(2)
 SOCKET_FAILS = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]
 
 
@@ -169,6 +171,34 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("held_up_s", [0.16, 0.4])
+def test_a_connection_that_came_up_while_this_process_was_held_up_costs_no_attempt_and_no_trust(
+        held_up_s: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time for connecting passes between connect(2) and the next look at the socket."""
+    opened: list[Any] = []
+
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE + "c send")
+            open_connection = asyncio.open_connection
+
+            async def held_up(*to: Any, **more: Any) -> Any:
+                opened.append(to)
+                opening = asyncio.ensure_future(open_connection(*to, **more))
+                for _ in range(CONNECT_CALLED):
+                    await asyncio.sleep(0)
+                time.sleep(held_up_s)
+                return await opening
+
+            monkeypatch.setattr(asyncio, "open_connection", held_up)
+            await cast.play(SERVED.removeprefix(ONE))
+            monkeypatch.setattr(asyncio, "open_connection", open_connection)
+            assert len(opened) == 1
+            assert cast.counters.values["calls.sent"] == cast.counters.values["calls.ok"] == 1
+
+    asyncio.run(run())
+
+
 # --- the folder in which processes leave each other what they took on ----------------------------------
 
 
