Connecting and probing: a hold-up of this process is not the worker's silence

Cause: asyncio.timeout fires in the turn of the event loop in which a socket that became ready during a hold-up is handled, and cancels the task first (Connection.connect, Prober.probe). Ruled out: a longer time for connecting (a hold-up may always be longer, and a worker that is cut off would hold its job for as long). Measured: the two cases of the test pass; test_local_failures, test_descriptors, test_http and test_crossings pass (168 tests).

--- a/gaphub/net/http/connection.py
+++ b/gaphub/net/http/connection.py
@@ -15,6 +15,7 @@
 import h11
 
 from ...config import Address
+from ..timeouts import timeout_after_poll
 from . import tunables
 
 Header = tuple[bytes, bytes]
@@ -52,7 +53,7 @@
     async def connect(cls, to: Address, within_s: float) -> Connection:
         """A new connection; ConnectionLostError if it does not come up in time."""
         try:
-            async with asyncio.timeout(within_s):
+            async with timeout_after_poll(within_s):
                 reader, writer = await cls._open(to)
                 writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, tunables.SEND)
                 return cls(reader, writer)
--- a/gaphub/net/http/probe.py
+++ b/gaphub/net/http/probe.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import h11
 
 from ...core import Core
 from ...interface import Status
 from ...messages import Destination
+from ..timeouts import timeout_after_poll
 from . import tunables
 from .answer import parse_load
 from .connection import Connection, ConnectionLostError, NeverWrittenError
@@ -33,7 +32,7 @@
         status, report = Status.CONNECT_FAILED, ()
         connection: Connection | None = None
         try:
-            async with asyncio.timeout(tunables.PROBE_S):
+            async with timeout_after_poll(tunables.PROBE_S):
                 while connection is None:
                     status = Status.CONNECT_FAILED
                     connection = await pool.take()
