Tests: a cold worker's budget after a quiet time, at double restarts and restarts of all, red

Cause: each scheduler saves up an allowance of one request for as long as the worker is cold, first ones are drawn evenly from 0 to 1 whatever a job costs, and all can be used in one window; and what the worker can do is guessed as the mean of all kinds.

--- a/gaphub/lab/model.py
+++ b/gaphub/lab/model.py
@@ -19,6 +19,8 @@
 
 TRAVEL_MS = 1.0  # one way, gateway and worker
 QUEUE = 10  # jobs that wait at a worker; one more is answered 'full'
+FEW = 30.0  # mean requests; of a smaller budget more is put down to chance
+CHANCE, CHANCE_FEW = 2.0, 3.0  # times the root of a budget, and as many requests on top
 
 
 @dataclass(frozen=True)
@@ -50,6 +52,7 @@
     slots: int
     started: float  # 0: long ago
     free: int = 0
+    speed: float = 1.0
     alive: bool = True
     queue: deque[tuple[int, float, Callable[[float], None]]] = field(default_factory=deque)
     sent: list[tuple[float, float]] = field(default_factory=list)  # when cold: arrival and its part of a mean job
@@ -64,8 +67,11 @@
         self.settings = settings
         self.loads = loads
         self.machines = {m.id: m for m in machines}
+        self.ended: list[Machine] = []  # former lives of those that were restarted
         self.now = 1000.0
         self.rng = random.Random(seed)
+        self.pace = 1.0  # times the rates of the loads
+        self.seed = seed
         self.tallies = [Tally() for _ in loads]
         self.mean_work = sum(x.per_s * x.work_ms * x.slots for x in loads) / sum(x.per_s for x in loads)
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -73,6 +79,7 @@
         for m in machines:
             m.free = m.slots
         self.gateways = [Gateway(self, i, seed * 1000 + i) for i in range(gateways)]
+        self._lives = gateways  # of gateways so far
         for c, load in enumerate(loads):
             self._next(c, load)
 
@@ -98,7 +105,7 @@
             self.rng.choice(self.gateways).ask(c, load)
             self._next(c, load)
 
-        self.at(self.rng.expovariate(load.per_s / 1000.0), come)
+        self.at(self.rng.expovariate(self.pace * load.per_s / 1000.0), come)
 
     def warmth(self, m: Machine) -> float:
         """The present part of a machine's speed."""
@@ -118,23 +125,49 @@
         entries = []
         for wid in gone:
             old = self.machines.pop(wid)
-            old.alive = False
-            new = Machine(self.rng.randrange(1, 2**31), old.kind, old.zone, old.slots, self.now, old.slots)
-            self.machines[new.id] = new
+            new = self._successor(old, self.rng.randrange(1, 2**31))
             entries += [listed(old, 0), listed(new, 1)]
         self.tell(entries)
 
+    def _successor(self, old: Machine, ident: int) -> Machine:
+        """A machine like one that ends now, cold."""
+        old.alive = False
+        new = Machine(ident, old.kind, old.zone, old.slots, self.now, old.slots, old.speed)
+        self.machines[ident] = new
+        return new
+
+    def restart_workers(self, workers: list[int]) -> None:
+        """Workers end and come back cold under the same ids; all gateways are told at once."""
+        entries = []
+        for wid in workers:
+            old = self.machines[wid]
+            self.ended.append(old)
+            entries.append(listed(self._successor(old, wid), 1))
+        self.tell(entries)
+
+    def restart_gateways(self, numbers: list[int]) -> None:
+        """Gateways end and start again, with the list as it is and nothing else; what they had out runs on."""
+        for number in numbers:
+            self.gateways[number].over = True
+            self.gateways[number] = Gateway(self, number, self.seed * 1000 + self._lives)
+            self._lives += 1
+
     def worst_rush(self) -> float:
-        """The most that any cold worker was sent in ``fall_ms``, as a part of what the rule lets it bear."""
+        """The most that any cold worker was sent in ``fall_ms``, as a part of what the rule lets it bear.
+
+        With N what it can do in that time, ``fall_multiple`` times: N + 2 x root of N + 2, and below 30 mean
+        requests N + 3 x root of N + 3.
+        """
         worst = 0.0
         s = self.settings
-        for m in self.machines.values():
+        for m in [*self.machines.values(), *self.ended]:
             for i, (began, _) in enumerate(m.sent):
                 age = (began - m.started) / s.cold_ms
-                rate = m.slots * min(1.0, s.cold_from + (1 - s.cold_from) * age) / self.mean_work
+                rate = m.slots * m.speed * min(1.0, s.cold_from + (1 - s.cold_from) * age) / self.mean_work
                 n = s.fall_multiple * rate * s.fall_ms
                 inside = sum(part for at, part in m.sent[i:] if at - began < s.fall_ms)
-                worst = max(worst, inside / (n + 3.0 * n ** 0.5 + 3.0))
+                chance = CHANCE_FEW if n < FEW else CHANCE
+                worst = max(worst, inside / (n + chance * n ** 0.5 + chance))
         return worst
 
 
@@ -152,6 +185,7 @@
         self.asked: dict[int, tuple[int, Load]] = {}
         self.attempts: dict[int, int] = defaultdict(int)
         self.serial = 0
+        self.over = False  # its process has ended
         self.balancer = Balancer(fleet.now, fleet.settings, seed, self)
         self.balancer.on_workers(fleet.now, ListKind.CACHED, [listed(m, 1) for m in fleet.machines.values()])
 
@@ -180,7 +214,7 @@
         def begin(now: float) -> None:
             m.free -= load.slots
             self.balancer.on_started(now, request, index)
-            fleet.at(work / fleet.warmth(m), end)
+            fleet.at(work / (m.speed * fleet.warmth(m)), end)
 
         def end() -> None:
             m.free += load.slots
@@ -198,7 +232,7 @@
         return None
 
     def _end(self, request: int, index: int, status: Status, sent_at: float) -> None:
-        if request in self.asked:
+        if request in self.asked and not self.over:
             if status == Status.OK:
                 self.fleet.tallies[self.asked.pop(request)[0]].served += 1
             self.balancer.on_outcome(self.fleet.now, request, index, status, self.fleet.now - sent_at,
@@ -221,7 +255,11 @@
 
     def set_timer(self, delay_ms: float, token: int) -> None:
         """An alarm."""
-        self.fleet.at(delay_ms, lambda: self.balancer.on_timer(self.fleet.now, token))
+        self.fleet.at(delay_ms, partial(self._ring, token))
+
+    def _ring(self, token: int) -> None:
+        if not self.over:
+            self.balancer.on_timer(self.fleet.now, token)
 
     def probe(self, worker: int) -> None:
         """Answered as the worker stands when it comes: its free slots, its queue, and the slots in use."""
@@ -245,6 +283,8 @@
 
     def hear(self, sender: int, data: bytes) -> None:
         """A datagram came in."""
+        if self.over:
+            return
         self.balancer.on_peer(self.fleet.now, sender, data)
 
     def log(self, text: str) -> None:
