Slow start: allowances that nobody hears of begin evenly spread and are not saved up for long

Cause: as the red test says. logic.py's tokens at a cold worker were drawn from 0 to 1 at each scheduler for itself, kept until used, the first heavy job paid for after it was sent; and the budget was guessed as that of the mean worker, so that a slow kind's was too large.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -12,6 +12,8 @@
 from heapq import heappop, heappush
 from math import exp, log
 
+from . import cold_start
+from .cold_start import ColdAllowance
 from .interface import (
     NEVER_RAN,
     Actions,
@@ -66,8 +68,6 @@
 LOOK_TTL_MS = 40.0  # ms; a look is of this moment; soon other gateways have sent there
 BUSY_MS = 400.0  # ms; how long a worker that let a job wait counts as busy
 WAITING_COPIES = 3  # copies that may wait at once: each takes a place in somebody's queue
-COLD_LIGHT = 1.0  # mean jobs; heavier ones have an allowance of their own: light ones use up theirs first
-COLD_PART = 0.2  # of what the rule lets a cold worker bear from all gateways: either allowance; one job: half
 WAIT_OK = 0.5  # share of the fixed part of the aim; a reported wait up to this is short
 RATE_MS = 8_000.0  # ms; over which this gateway measures what it gets served
 CUT_STEP = 0.25  # share; how fast the view of a zone's connections moves with each attempt
@@ -226,17 +226,18 @@
                  "report", "report_at", "report_new_at", "out_then", "memory_out", "memory_then", "capacity",
                  "full_until", "full_slots", "full_times", "busy_until", "heard_at", "strikes",
                  "struck_until",
-                 "trial", "cold_tokens", "cold_heavy", "cold_at", "resets", "begun", "errors", "erred")
+                 "trial", "cold", "resets", "begun", "errors", "erred")
 
-    def __init__(self, entry: ListedWorker) -> None:
+    def __init__(self, entry: ListedWorker, cold_phase: float = 0.0) -> None:
+        """``cold_phase``: this gateway's at a cold worker, see ``cold_start.phase_of``."""
         self.id, self.kind, self.able = entry.worker, entry.kind, entry.able
         self.identity = entry.identity or entry.worker
         self.zone, self.cell, self.state = entry.zone, entry.cell, entry.state
         self.out = self.memory_out = 0.0  # slots and memory of this gateway's attempts out there
         self.capacity = 0.0
-        self.restart(entry.ready_at_ms, 0.0)
+        self.restart(entry.ready_at_ms, cold_phase)
 
-    def restart(self, ready_at: float, first_token: float) -> None:
+    def restart(self, ready_at: float, cold_phase: float) -> None:
         """A new process: nothing known of the old one holds."""
         self.ready_at = ready_at
         self.report: tuple[float, ...] = ()
@@ -250,8 +251,7 @@
         self.errors = 0.0  # the share of its answers that are errors, the last ones above all
         self.erred: dict[int, float] = {}  # class, -1 for any: its last error; some fail one class alone
         self.trial = False
-        self.cold_tokens = self.cold_heavy = first_token
-        self.cold_at = -1.0
+        self.cold = ColdAllowance(cold_phase)
 
 
 class Reports:
@@ -328,8 +328,12 @@
         self.pools: dict[tuple[tuple[int, ...], int, int], list[Worker]] = {}
         self.kind_counts = [0] * kinds
 
-    def apply(self, kind: int, entries: Sequence[ListedWorker], token: Callable[[], float]) -> list[int]:
-        """Follow the list; the ids of workers that restarted or are gone."""
+    def apply(self, kind: int, entries: Sequence[ListedWorker],
+              cold_phase: Callable[[int], float]) -> list[int]:
+        """Follow the list; the ids of workers that restarted or are gone.
+
+        ``cold_phase``: of this gateway at a worker, by the worker's identity.
+        """
         changed = []
         if kind != ListKind.CHANGES:
             named = {e.worker for e in entries}
@@ -344,10 +348,9 @@
                     changed.append(e.worker)
                 continue
             if w is None:
-                w = self.workers[e.worker] = Worker(e)
-                w.cold_tokens = w.cold_heavy = token()
+                w = self.workers[e.worker] = Worker(e, cold_phase(e.identity or e.worker))
             elif e.ready_at_ms != abs(w.ready_at):
-                w.restart(e.ready_at_ms, token())
+                w.restart(e.ready_at_ms, cold_phase(w.identity))
                 changed.append(w.id)
             w.state = e.state
             w.able = e.able
@@ -491,7 +494,7 @@
             if kind != ListKind.CACHED and self.set.must_ask:
                 self.watching = True
                 self.list_wait = RETRY_LIST_MS
-            for wid in self.fleet.apply(kind, entries, self.rng.random):
+            for wid in self.fleet.apply(kind, entries, self._cold_phase):
                 self._forget(wid)
             workers, change = self.fleet.workers, kind == ListKind.CHANGES
             ids = [e.worker for e in entries if e.worker in workers] if change else list(workers)
@@ -510,6 +513,9 @@
                 t.stale = True
         self._arm(now)
 
+    def _cold_phase(self, identity: int) -> float:
+        return cold_start.phase_of(self.set.me, self.set.balancers, identity, self.rng.random())
+
     def on_settings(self, settings: Settings, fresh: Sequence[int]) -> None:
         """Other settings; the classes of some rows, known or one past them, are others from now on."""
         self.set = settings
@@ -672,26 +678,31 @@
         return 1 if ill or full else 2
 
     def _cold_allows(self, w: Worker, job: Job, now: float) -> bool:
-        """A cold worker is sent a part of what the rule lets it bear; the first tokens are drawn."""
+        """Whether a cold worker may be sent a job, by what it bears from all gateways together."""
         if now - w.ready_at >= self.set.cold_ms:
             w.ready_at = -w.ready_at  # warm; the list names its start again, so it is kept
             self.warm += 1
             return True
-        cost, among = job.cost / self.mean_cost, self.set.balancers * self.set.fall_ms
-        n = self.set.fall_multiple * among * self._served_rate(now) * self._warmth(w, now)
-        bears = n + 3.0 * n ** 0.5 + 3.0  # mean jobs in fall_ms, with what the rule adds for chance
-        if cost > 0.5 * bears:
+        cost, bears = job.cost / self.mean_cost, cold_start.bears(self._cold_budget(w, job, now))
+        per_window = cold_start.PART * bears / self.set.balancers
+        w.cold.earn(now, per_window / self.set.fall_ms)
+        if cost > cold_start.ONE_REQUEST * bears:
             return False
         if (slots := self._slots(w, now)) > 0.0 and (part := self.occupancy.heard_part) > 0.0:
             # The sum over the gateways that are heard is known: it holds for them together, and they have
             # their part of what the rule lets all of them send.  Others may be cut off, and send as well.
             return (out := self._out(w)) <= 0.0 or out + job.slots <= slots * part
-        if w.cold_at >= 0:
-            more = (now - w.cold_at) * COLD_PART * bears / among
-            w.cold_heavy = min(1.0, w.cold_heavy + more)
-            w.cold_tokens = min(1.0, w.cold_tokens + more)
-        w.cold_at = now
-        return w.cold_tokens >= cost if cost <= COLD_LIGHT else w.cold_heavy >= 1.0
+        return w.cold.admits(cost, per_window)
+
+    def _cold_budget(self, w: Worker, job: Job, now: float) -> float:
+        """Mean jobs that the rule allows a cold worker now in ``fall_ms``, guessed by what warm ones bear.
+
+        A kind that is slower than the mean of all workers bears less.
+        """
+        t = job.type
+        slow = min(1.0, t.kind_rates[w.kind] * len(self.fleet.ready) / t.total)
+        window = self.set.fall_multiple * self.set.balancers * self.set.fall_ms
+        return window * self._served_rate(now) * self._warmth(w, now) * slow
 
     def _warmth(self, w: Worker, now: float) -> float:
         """The present part of a cold worker's capacity, at the least."""
@@ -947,10 +958,7 @@
         w.memory_out += job.memory
         self._tell_count(w, now, more=True)
         if w.ready_at > 0.0:
-            if (cost := job.cost / self.mean_cost) > COLD_LIGHT:
-                w.cold_heavy -= cost
-            else:
-                w.cold_tokens -= cost
+            w.cold.spend(job.cost / self.mean_cost)
         self.act.send(job.id, w.id, 0.0)
         self._at(now + self._patience(a), _ALARM_CHECK, a)
 
--- a/gaphub/ops/legacy.py
+++ b/gaphub/ops/legacy.py
@@ -55,7 +55,7 @@
         samples = {names[w]: (s[0], s[1], s[2]) for w, s in t.samples.items() if w in names}
         rows[name] = Profile(balancer.set.classes[row], t.mean, t.served, balancer.longest[row], samples)
     r = balancer.reports
-    cold = {names[w.id]: (w.ready_at, w.cold_tokens, w.cold_heavy, w.cold_at)
+    cold = {names[w.id]: (w.ready_at, w.cold.light, w.cold.heavy, w.cold.counted_at)
             for w in balancer.fleet.workers.values() if w.ready_at > 0.0 and w.id in names}
     page = Legacy(FORMAT, scheduler, now, base, {key: float(getattr(balancer, key)) for key in MEASURED},
                   {kind: (mean, r.most_free.get(kind, mean)) for kind, mean in r.idle_free.items()}, rows, cold)
@@ -107,4 +107,4 @@
     for worker, (started, light, heavy, at) in page.cold.items():
         w = workers.get(numbers.get(worker, 0))
         if w is not None and abs(w.ready_at - started) <= SAME_START_MS:
-            w.cold_tokens, w.cold_heavy, w.cold_at = light, heavy, at
+            w.cold.light, w.cold.heavy, w.cold.counted_at = light, heavy, at
