--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,126 @@
+"""Clients that send requests ahead of their answers: what was read is answered, and what is kept is bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from gaphub.lab.world import Agent, Workers
+
+from .processes import Process, running
+from .scenario import free_port
+
+BODY = b"b" * 60_000  # a request may have one of 64 KiB
+AHEAD = 3
+MEMORY_MB = 64
+CLIENTS = 12
+FLOOD_S = 4.0
+ANSWER_S = 10.0
+PAGE_KB = 4
+
+
+def request(ident: str, body: bytes = b"") -> bytes:
+    head = (f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\nX-Priority-Class: poloha\r\n"
+            f"X-Timeout: 5000m\r\nContent-Length: {len(body)}\r\n\r\n")
+    return head.encode() + body
+
+
+class Site:
+    """One scheduler with workers that answer soon."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.workers = Workers({"poloha": 20.0})
+        self.agent: Agent | None = None
+
+    async def open(self) -> Process:
+        await self.workers.open(4)
+        self.agent = Agent(self.workers.addresses)
+        await self.agent.open()
+        one = Process(self.folder, free_port(), self.agent, "one", limits={"memory_mb": MEMORY_MB, "sockets": 256})
+        await one.ready()
+        return one
+
+    def close(self) -> None:
+        self.workers.close()
+        if self.agent is not None:
+            self.agent.close()
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    found = Site(tmp_path)
+    yield found
+    found.close()
+
+
+def resident_mb(process: Process) -> float:
+    pages = int(Path(f"/proc/{process.process.pid}/statm").read_text().split()[1])
+    return pages * PAGE_KB / 1e3
+
+
+def test_requests_with_large_bodies_that_were_sent_ahead_are_all_answered(site: Site) -> None:
+    async def run() -> None:
+        one = await site.open()
+        with running([one]):
+            reader, writer = await asyncio.open_connection("127.0.0.1", one.listen)
+            writer.write(b"".join(request(f"r{i}", BODY) for i in range(AHEAD)))
+            async with asyncio.timeout(ANSWER_S):
+                for i in range(AHEAD):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    assert b" 200 " in head.split(b"\r\n")[0], head
+                    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+                    assert await reader.readexactly(length) == f"r{i}:{len(BODY)}".encode()
+            writer.close()
+
+    asyncio.run(run())
+
+
+async def send_without_end(listen: int, client: int) -> None:
+    """Good requests as fast as they are taken; answers are read and dropped."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+
+    async def drop() -> None:
+        while await reader.read(65536):
+            pass
+
+    dropping = asyncio.create_task(drop())
+    try:
+        with suppress(OSError):
+            for i in itertools.count():
+                writer.write(b"".join(request(f"c{client}-{i}-{k}") for k in range(100)))
+                await writer.drain()
+    finally:
+        dropping.cancel()
+        with suppress(OSError, asyncio.CancelledError):
+            await dropping
+        writer.transport.abort()
+
+
+def test_clients_that_send_ahead_without_end_stay_within_the_memory(site: Site) -> None:
+    async def run() -> None:
+        one = await site.open()
+        with running([one]):
+            async def again(client: int) -> None:
+                for life in itertools.count():
+                    await send_without_end(one.listen, client * 1000 + life)
+
+            tasks = [asyncio.create_task(again(n)) for n in range(CLIENTS)]
+            most = 0.0
+            for _ in range(int(FLOOD_S / 0.1)):
+                await asyncio.sleep(0.1)
+                most = max(most, resident_mb(one))
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            print(f"{most:.0f} MB at the most")
+            assert one.process.poll() is None
+            assert site.workers.ran
+            assert most <= MEMORY_MB
+
+    asyncio.run(run())
