HTTP front: what a client sent ahead is kept up to 256 KiB, and counted as room for bodies

Change: AHEAD_MOST is four times the largest body; what is kept is charged to the same budget as bodies that are still coming (handler._keep_ahead, _account_for), so that many clients together cannot take the memory. Past that a client floods as before: its open request is answered, the rest dropped. Ruled out: reading no further (a client's leaving lies behind what is unread).

--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -43,6 +43,12 @@
     async def serve(self, session: ClientSession) -> None:
         """Answer a connection's requests, one at a time, until it is to be closed."""
         http = h11.Connection(h11.SERVER)
+        try:
+            await self._serve(http, session)
+        finally:
+            self._account_for(session, 0)
+
+    async def _serve(self, http: h11.Connection, session: ClientSession) -> None:
         while True:
             session.waits = self.core.clock.now()
             try:
@@ -77,6 +83,20 @@
                 while left > 0 and (data := await session.read()):
                     left -= len(data)
 
+    def _account_for(self, session: ClientSession, ahead: int) -> None:
+        """So many bytes are kept that a client sent past its open request; they take up room for bodies."""
+        self.bodies += session.ahead - ahead
+        session.ahead = ahead
+
+    def _keep_ahead(self, http: h11.Connection, session: ClientSession, data: bytes) -> bool:
+        """Keep what a client sent past its open request, if there is room."""
+        ahead = len(http.trailing_data[0]) + len(data)
+        if session.flooded or ahead > tunables.AHEAD_MOST or ahead - session.ahead > self.bodies:
+            return False
+        http.receive_data(data)
+        self._account_for(session, ahead)
+        return True
+
     def _until(self, session: ClientSession, begun_at: float) -> float | None:
         """Until when the next bytes must come; None: there is no hurry."""
         if not session.asked:
@@ -125,6 +145,7 @@
                     if self.bodies < 0:
                         raise BadRequestError(503, "no room for bodies")
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
+                    self._account_for(session, len(http.trailing_data[0]))
                     return request, bytes(body), arrived_at
                 else:
                     return None
@@ -175,7 +196,6 @@
                     session: ClientSession) -> Answer | None:
         """The final answer; None if the client went first, which the core is told."""
         read = asyncio.ensure_future(session.read())
-        early = 0
         try:
             while True:
                 waited: set[asyncio.Future[Any]] = {read, future}
@@ -188,10 +208,8 @@
                 if not data:
                     await self.core.post(lambda: self.core.gone(job))
                     return None
-                early += len(data)
-                if early <= tunables.BODY_MOST:
-                    http.receive_data(data)  # of the next request; the client may still leave
-                elif not session.flooded:
+                # Kept for the next request; the client may still leave.
+                if not self._keep_ahead(http, session, data) and not session.flooded:
                     session.flooded = True
                     self._flooding += 1
                 if session.flooded:
@@ -207,6 +225,7 @@
             with suppress(OSError, asyncio.CancelledError):
                 if (data := await read) and not session.flooded:
                     http.receive_data(data)
+                    self._account_for(session, len(http.trailing_data[0]))
 
     async def _write(self, http: h11.Connection, session: ClientSession, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = (), flooded: bool = False) -> None:
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -65,7 +65,7 @@
     """One inbound connection; its handler task is its owner."""
 
     __slots__ = ("reader", "writer", "protocol", "since", "waits", "asked", "served", "yielded", "halfway",
-                 "flooded", "taken")
+                 "flooded", "taken", "ahead")
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, protocol: SessionProtocol,
                  now: float) -> None:
@@ -80,6 +80,7 @@
         self.halfway = False  # a request has begun to come and is not whole
         self.flooded = False  # sent so much past a request that it was dropped; an answer, and it ends
         self.taken = 0  # bytes that were read from it
+        self.ahead = 0  # of them kept past the open request, as the handler has accounted for them
 
     async def read(self) -> bytes:
         """What has come, as soon as anything has; empty at the end."""
--- a/gaphub/net/http/tunables.py
+++ b/gaphub/net/http/tunables.py
@@ -5,6 +5,7 @@
 """
 
 BODY_MOST = 64 * 1024
+AHEAD_MOST = 4 * BODY_MOST  # bytes that one client may have sent past its open request; it floods with more
 LINE_MOST = 512 * 1024  # a result of 64 KiB with every byte escaped
 READ = 64 * 1024
 INBOUND_PART = 0.5  # of the descriptors, for clients; those with requests hold up to a third
@@ -22,7 +23,7 @@
 TAKE_S = 10.0  # for a client to take an answer
 LINGER_ERROR_S = 0.4  # after an error, for a client that still sends to read it
 LINGER_MOST = 256 * 1024  # bytes that are read and dropped meanwhile
-# A client that has sent BODY_MOST past its open request is read on, so that its leaving is seen behind what it
+# A client that has sent AHEAD_MOST past its open request is read on, so that its leaving is seen behind what it
 # sent, but what comes is dropped: a chunk in so long, over all such clients together.
 DROP_S = 0.001
 HOLD_S = 0.004  # a job's last byte is held back for so long; a connection that is dead shows it by then
