--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -18,6 +18,7 @@
 
 from gaphub.lab.world import Agent, Workers
 from gaphub.net import http
+from gaphub.net.http import tunables
 
 from .processes import Process, job, running
 from .scenario import Cast, free_port
@@ -26,6 +27,7 @@
 SERVED = ONE + "c send job poloha r1\nw expect r1\nw send lines r1 done=one .\nc expect 200 .*one"
 ACCEPT_FAILS = [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EINTR, errno.EPERM]
 CONNECT_FAILS = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS]
+LONG_FAILURE = 60  # failures in a row, ten ms or more apart
 CONNECT_CALLED = 3  # turns of the event loop after which a task that opens a connection has called connect(2)
 SOCKET_FAILS = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]
 
@@ -171,6 +173,39 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("number", [errno.EADDRNOTAVAIL, errno.ENFILE])
+def test_a_local_failure_that_outlasts_the_time_for_connecting_is_no_fault_of_the_worker(
+        number: int, fails: list[tuple[str, int]]) -> None:
+    """It goes on for more than the 150 ms of the settings."""
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE + "c send")
+            fails.extend([("connect", number)] * LONG_FAILURE)
+            await cast.play(SERVED.removeprefix(ONE))
+            assert not fails
+            assert cast.counters.values["calls.sent"] == cast.counters.values["calls.ok"] == 1
+
+    asyncio.run(run())
+
+
+def test_a_local_failure_that_does_not_end_gets_a_refusal_and_is_no_fault_of_the_worker(
+        fails: list[tuple[str, int]], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(tunables, "LOCAL_MOST_S", 0.2, raising=False)
+
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE + "c send")
+            fails.extend([("connect", errno.ENOBUFS)] * 100_000)
+            await cast.play("c send job vyuctovani r1\nc expect HTTP/1.1 503\ncount calls.local_failures 1")
+            fails.clear()
+            # A worker that was ruled out would not get the next job.
+            await cast.play("c send job vyuctovani r2\nw expect r2")
+            await cast.play("w send lines r2 done=two .\nc expect 200 .*two")
+            assert cast.counters.values["calls.connect_failed"] == 0
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("held_up_s", [0.16, 0.4])
 def test_a_connection_that_came_up_while_this_process_was_held_up_costs_no_attempt_and_no_trust(
         held_up_s: float, monkeypatch: pytest.MonkeyPatch) -> None:
