Connecting: errors of this machine are nobody's fault however long they last, nor a want of room

Cause: errors of socket and connect were tried again within the settings' time for connecting (150 ms) only, and then counted as the worker's refusal; so did "out of sockets", the part of the descriptors for workers being in use: each ruled out a well worker and spent an attempt. Change: Connection.connect tries again for a second; a shortage (EMFILE, ENFILE, ENOBUFS, ENOMEM) that lasts, and a pool without room, raise LocalFailureError: the call is moot, the job refused at once, nobody judged (calls.local_failures); a probe that finds no room is no silence either. Ruled out: to go on for as long as the job has time (the answer of a request that is given up is owed at once); to treat a lasting ENETUNREACH alike (a lost route is told apart by nothing).

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -1315,7 +1315,7 @@
         if w is not None:
             if report:
                 self._take_report(now, w, report)
-            if status != Status.OK:
+            if status not in (Status.OK, Status.MOOT):
                 self._strike(w, now, "no answer to a probe")
         for job in self.looking.pop(worker, ()):
             job.looks_out -= 1
--- a/gaphub/net/http/connection.py
+++ b/gaphub/net/http/connection.py
@@ -21,14 +21,18 @@
 Header = tuple[bytes, bytes]
 
 # Of socket(2) and connect(2): errors that say nothing of the other side, and pass.
-LOCAL_FAILURES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL,
-                            errno.ENETUNREACH, errno.ENETDOWN))
+LOCAL_SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+LOCAL_FAILURES = LOCAL_SHORTAGES | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
 
 
 class ConnectionLostError(Exception):
     """The connection broke or ended where an answer was owed."""
 
 
+class LocalFailureError(ConnectionLostError):
+    """There is no room for a connection on this machine, whoever is on the other side."""
+
+
 class NeverWrittenError(Exception):
     """The request's last byte was not written."""
 
@@ -51,27 +55,28 @@
 
     @classmethod
     async def connect(cls, to: Address, within_s: float) -> Connection:
-        """A new connection; ConnectionLostError if it does not come up in time."""
-        try:
-            async with timeout_after_poll(within_s):
-                reader, writer = await cls._open(to)
-                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, tunables.SEND)
-                return cls(reader, writer)
-        except (OSError, TimeoutError) as error:
-            raise ConnectionLostError(str(error)) from None
-
-    @staticmethod
-    async def _open(to: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Connect, again and again while this machine itself is what fails; OSError for anything else.
-
-        Guards against holding a worker, or discovery, to account for a want of descriptors, ports or memory here.
+        """A new connection; ConnectionLostError if it does not come up in time.
+
+        Tries again while this machine itself is what fails, at most for ``LOCAL_MOST_S``, and then raises
+        LocalFailureError where the other side had no part in it.  Guards against holding a worker, or discovery,
+        to account for a want of descriptors, ports or memory here.
         """
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + tunables.LOCAL_MOST_S
         while True:
             try:
-                return await asyncio.open_connection(*to)
+                async with timeout_after_poll(within_s):
+                    reader, writer = await asyncio.open_connection(*to)
+                    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, tunables.SEND)
+                    return cls(reader, writer)
+            except TimeoutError as error:
+                raise ConnectionLostError(str(error)) from None
             except OSError as error:
                 if error.errno not in LOCAL_FAILURES:
-                    raise
+                    raise ConnectionLostError(str(error)) from None
+                if loop.time() >= ends:
+                    kind = LocalFailureError if error.errno in LOCAL_SHORTAGES else ConnectionLostError
+                    raise kind(str(error)) from None
             await asyncio.sleep(tunables.LOCAL_AGAIN_S)
 
     @property
--- a/gaphub/net/http/outbound.py
+++ b/gaphub/net/http/outbound.py
@@ -20,7 +20,13 @@
 from ...tasks import Tasks
 from . import tunables
 from .answer import AnswerReader
-from .connection import Connection, ConnectionLostError, EarlyAnswerError, NeverWrittenError
+from .connection import (
+    Connection,
+    ConnectionLostError,
+    EarlyAnswerError,
+    LocalFailureError,
+    NeverWrittenError,
+)
 from .pool import Pool, Pools
 from .probe import Prober
 
@@ -156,6 +162,9 @@
                 outcome = Outcome(Status.TIMEOUT)
         except StoppedError as stopped:
             outcome = Outcome(stopped.status)
+        except LocalFailureError as error:  # another worker is out of reach as well, and none is to blame
+            self.counters.log("calls.local_failures", str(error))
+            outcome = Outcome(Status.MOOT)
         except (ConnectionLostError, NeverWrittenError):
             pass
         except asyncio.CancelledError:
--- a/gaphub/net/http/pool.py
+++ b/gaphub/net/http/pool.py
@@ -13,7 +13,7 @@
 from ...config import Address
 from ...metrics import Counters
 from . import tunables
-from .connection import Connection, ConnectionLostError
+from .connection import Connection, LocalFailureError
 
 
 class Pool:
@@ -25,7 +25,10 @@
         self.idle: list[Connection] = []
 
     async def take(self, fresh: bool = False) -> Connection:
-        """An idle connection, the one used last, or a new one; ConnectionLostError if there is none."""
+        """An idle connection, the one used last, or a new one; ConnectionLostError if there is none.
+
+        LocalFailureError where this machine, or the part of its descriptors for workers, has no room for one.
+        """
         while self.idle and not fresh:
             connection = self.idle.pop()
             # Guards against settings whose idle time is no longer than the pause between two rounds of the
@@ -36,7 +39,7 @@
         while self.owner.sockets <= 0 and await self.owner.make_room():
             pass
         if self.owner.sockets <= 0:
-            raise ConnectionLostError("out of sockets")
+            raise LocalFailureError("out of sockets")
         self.owner.sockets -= 1
         try:
             connection = await Connection.connect(self.to, self.owner.connect_s)
--- a/gaphub/net/http/probe.py
+++ b/gaphub/net/http/probe.py
@@ -13,7 +13,7 @@
 from ..timeouts import timeout_after_poll
 from . import tunables
 from .answer import parse_load
-from .connection import Connection, ConnectionLostError, NeverWrittenError
+from .connection import Connection, ConnectionLostError, LocalFailureError, NeverWrittenError
 from .pool import Pool
 
 
@@ -57,6 +57,8 @@
                     report = parse_load(body, self.report_fields)  # type: ignore[assignment]
         except TimeoutError:
             status = Status.TIMEOUT
+        except LocalFailureError:
+            status = Status.MOOT  # the worker was not asked
         except (ConnectionLostError, NeverWrittenError, h11.LocalProtocolError):
             pass
         finally:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -264,3 +264,20 @@
     asyncio.run(play())
     assert len(parts) == (4 if fronts else 3)
     assert sum(parts) + EVERY_PROCESS <= LIMIT, parts
+
+
+def test_a_want_of_descriptors_for_workers_is_no_fault_of_theirs() -> None:
+    """All connections that may be open are in use: a call and a probe of another worker find no room."""
+
+    async def play() -> None:
+        settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "mostTries": 2}}
+        async with Cast(limits={"sockets": 8}, settings=settings, known="w") as cast:  # three of them for workers
+            await cast.play("d expect index=41\nc1 send job poloha r1\nc2 send job poloha r2\nc3 send job poloha r3")
+            await cast.play("count connections.outbound 3\ncount calls.sent 3")
+            await cast.play("c4 send job poloha r4\nc4 expect HTTP/1.1 503\ncount calls.local_failures 1")
+            await cast.play("c1 close\ncount calls.cancelled 1")
+            # A worker that was ruled out would not get the next job.
+            await cast.play("c5 send job vyuctovani r5\ncount connections.outbound 4\ncount calls.sent 5")
+            assert "calls.connect_failed" not in cast.counters.snapshot()
+
+    asyncio.run(play())
