--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -107,6 +107,24 @@
     assert len(kept) == 0
 
 
+def test_a_job_that_found_no_room_comes_again_after_a_span_of_real_time_whatever_the_wall_clock_says() -> None:
+    kept = Schedule(4)
+    assert kept.put("a", 100.0)
+    assert kept.due(100.0) == ["a"]
+    kept.retry("a", 5_000.0)
+    assert len(kept) == 1
+    assert kept.due(-3_500.0, 4_999.0) == [], "the wall clock went back by an hour"
+    assert kept.due(3_700.0, 4_999.0) == [], "or forward"
+    assert kept.due(-3_500.0, 5_000.0) == ["a"]
+    kept.retry("a", 9_000.0)
+    assert kept.remove("a")
+    assert not kept.remove("a")
+    assert kept.due(1e9, 1e9) == []
+    kept.retry("b", 9_000.0)
+    assert kept.clear() == ["b"]
+    assert len(kept) == 0
+
+
 @given(st.lists(st.tuples(st.integers(0, 50), st.booleans()), max_size=60), st.integers(1, 40))
 def test_each_is_given_out_once_and_none_is_forgotten(jobs: list[tuple[int, bool]], most: int) -> None:
     kept, items, out = Schedule(most), [], []
