Gearman: a scheduled job that found no room tries again after a span of real time

Change: Schedule.retry keeps such jobs apart, by the monotonic clock; cancel, clear and the count see both. Ruled out: one heap on the monotonic clock (set times are the wall clock's, also after a step). Measured: test_schedule, test_gearman, test_queues pass (81 tests).

--- a/gaphub/gearman/schedule.py
+++ b/gaphub/gearman/schedule.py
@@ -90,11 +90,16 @@
 
 
 class Schedule:
-    """The jobs that are to come; bounded."""
+    """The jobs that are to come; bounded.
+
+    A job waits for its moment by the wall clock; one whose moment has come and that found no room waits for a
+    span of real time.
+    """
 
     def __init__(self, most: int) -> None:
         self.most = most
         self._heap: list[tuple[float, int, Any]] = []
+        self._retries: list[tuple[float, int, Any]] = []  # by the monotonic clock
         self._live: dict[int, float] = {}  # when each is due, by the id of its entry
         self._numbers: dict[int, int] = {}
         self._serial = 0
@@ -106,11 +111,18 @@
         """Keep a job until its moment; False if there is no room."""
         if len(self._live) >= self.most:
             return False
+        self._push(self._heap, item, due_s)
+        return True
+
+    def retry(self, item: Any, at_ms: float) -> None:
+        """Keep a job that ``due`` gave and that found no room, until a moment of the monotonic clock."""
+        self._push(self._retries, item, at_ms)
+
+    def _push(self, heap: list[tuple[float, int, Any]], item: Any, at: float) -> None:
         self._serial += 1
-        self._live[self._serial] = due_s
+        self._live[self._serial] = at
         self._numbers[id(item)] = self._serial
-        heappush(self._heap, (due_s, self._serial, item))
-        return True
+        heappush(heap, (at, self._serial, item))
 
     def remove(self, item: Any) -> bool:
         """Take a job out before its moment; False if it is not here."""
@@ -118,16 +130,23 @@
         if not number:
             return False
         del self._live[number]
-        if len(self._heap) > 2 * len(self._live) + 64:
-            self._heap = [e for e in self._heap if e[1] in self._live]
-            heapify(self._heap)
+        for heap in (self._heap, self._retries):
+            if len(heap) > 2 * len(self._live) + 64:
+                heap[:] = [e for e in heap if e[1] in self._live]
+                heapify(heap)
         return True
 
-    def due(self, now_s: float) -> list[Any]:
-        """Take out all whose moment has come, the earliest first."""
+    def due(self, now_s: float, now_ms: float = 0.0) -> list[Any]:
+        """Take out all whose moment has come, the earliest first, and then those that are to try again.
+
+        ``now_s``: by the wall clock; ``now_ms``: by the monotonic one, as for ``retry``.
+        """
+        return [*self._pop(self._heap, now_s), *self._pop(self._retries, now_ms)]
+
+    def _pop(self, heap: list[tuple[float, int, Any]], now: float) -> list[Any]:
         found = []
-        while self._heap and (self._heap[0][0] <= now_s or self._heap[0][1] not in self._live):
-            _, number, item = heappop(self._heap)
+        while heap and (heap[0][0] <= now or heap[0][1] not in self._live):
+            _, number, item = heappop(heap)
             if self._live.pop(number, None) is not None:
                 del self._numbers[id(item)]
                 found.append(item)
@@ -135,4 +154,4 @@
 
     def clear(self) -> list[Any]:
         """Take out all."""
-        return self.due(float("inf"))
+        return self.due(float("inf"), float("inf"))
--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -433,11 +433,11 @@
 
     def _begin_due(self) -> None:
         """Queue what is due by the wall clock as it is now; where no room is left, it tries again in a while."""
-        now_s = time.time()
-        for work in self.schedule.due(now_s):
+        now = self.core.clock.now()
+        for work in self.schedule.due(time.time(), now):
             if not self._queue(work, work.client, work.size):
                 self.counters.add("gearman.due_and_no_room")
-                self.schedule.put(work, now_s + AGAIN_S)
+                self.schedule.retry(work, now + AGAIN_S * 1000.0)
 
     def _expires(self, job: Job, background: bool) -> float:
         """Until when a job may wait: its client's deadline, or the life of a background job."""
