Slow start: allowances of light requests are kept for two windows too

Change: one constant, KEEP, two windows. The service lost by it in large fleets that hear nothing stays.

--- a/gaphub/cold_start.py
+++ b/gaphub/cold_start.py
@@ -11,7 +11,7 @@
 - Schedulers do not begin in step.  Each has a *phase* at each worker, evenly spread over the schedulers,
   and may send its first request of a cost when it has earned the rest of that cost (stratified random
   offsets).
-- What is earned and not used is kept for a window or two and no longer, so that a burst after a quiet time
+- What is earned and not used is kept for two windows and no longer, so that a burst after a quiet time
   meets no more than that.
 - The phase is a share of the request's own cost: a heavy request is as rare from the first moment on as
   later.
@@ -25,8 +25,7 @@
 LIGHT = 1.0  # mean requests; what costs more is heavy
 PART = 0.2  # of what a cold worker bears from all schedulers together: light requests, and heavy ones
 ONE_REQUEST = 0.5  # of that; a request that costs more is not sent there at all
-KEEP_LIGHT = 1.0  # windows for which an allowance is kept that was not used
-KEEP_HEAVY = 2.0  # as well; heavy requests come seldom, and with less their class starved
+KEEP = 2.0  # windows for which an unused allowance is kept; with less, classes that come seldom starve
 KEPT_MOST = 1.0  # mean requests that one scheduler may have saved up, however few there are
 FEW = 30.0  # mean requests; of a smaller budget the rule puts more down to chance
 CHANCE, CHANCE_FEW = 2.0, 3.0  # times the root of the budget, and as many requests on top
@@ -76,9 +75,9 @@
         """
         owed = (1.0 - self.phase) * cost
         if cost <= LIGHT:
-            saved = self.light = _kept(self.light, owed, cost, min(KEEP_LIGHT * per_window, KEPT_MOST))
+            saved = self.light = _kept(self.light, owed, cost, min(KEEP * per_window, KEPT_MOST))
         else:
-            saved = self.heavy = _kept(self.heavy, owed, cost, KEEP_HEAVY * per_window)
+            saved = self.heavy = _kept(self.heavy, owed, cost, KEEP * per_window)
         return saved >= owed
 
     def spend(self, cost: float) -> None:
