--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,8 @@
 from __future__ import annotations
 
 import os
+import resource
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -38,3 +40,12 @@
 
     monkeypatch.setattr(Core, "__init__", noted)
     return found
+
+
+@pytest.fixture
+def own_descriptors() -> Iterator[None]:
+    """As many descriptors as may be, for tests whose process holds the ends of a crowd or of many workers."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -9,9 +9,7 @@
 import asyncio
 import itertools
 import json
-import resource
 from collections import Counter
-from collections.abc import Iterator
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -44,14 +42,7 @@
 WITHIN_S = 5.0  # a new client's job, with the crowd there; its time-out
 FIRST_WORDS = [b"", b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n", b"POST /api HTTP/1.1\r\nHost: a\r\n"]
 
-
-@pytest.fixture(autouse=True)
-def own_descriptors() -> Iterator[None]:
-    """This process holds the crowd's ends and the workers'."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    yield
-    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+pytestmark = pytest.mark.usefixtures("own_descriptors")
 
 
 @dataclass
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -8,8 +8,6 @@
 import asyncio
 import random
 import re
-import resource
-from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -29,6 +27,8 @@
 DRAIN_STEPS = 40
 WATCH_S = 0.05
 
+pytestmark = pytest.mark.usefixtures("own_descriptors")
+
 
 @dataclass
 class Need:
@@ -41,15 +41,6 @@
     served: int = 0
 
 
-@pytest.fixture(autouse=True)
-def own_descriptors() -> Iterator[None]:
-    """This process holds the workers' listeners."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    yield
-    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 async def drain(discovery: Discovery, workers: Workers, number: int) -> None:
     order = random.Random(3).sample(range(number), number // 5)
     at_once = len(order) // DRAIN_STEPS
