Slow start: an allowance is saved up for one request, and does not expire

Change: cold_start.py without windows: light requests may use their phase at once, heavy ones have it in parts of their cost; at most one request is saved up.

--- a/gaphub/cold_start.py
+++ b/gaphub/cold_start.py
@@ -8,25 +8,20 @@
 
 Three things keep the sum within any one window close to the sum of the rates:
 
-- Schedulers do not begin in step.  Each has a *phase* at each worker, evenly spread over the schedulers,
-  and may send its first request of a cost when it has earned the rest of that cost (stratified random
-  offsets).
-- What is earned and not used is kept for two windows and no longer, so that a burst after a quiet time
-  meets no more than that.
-- The phase is a share of the request's own cost: a heavy request is as rare from the first moment on as
-  later.
+- Schedulers do not begin in step.  Each has a *phase* at each worker, evenly spread over the schedulers
+  (stratified random offsets): the part of a first request that it need not earn.
+- What is earned and not used is kept for one request and no more.
+- For a heavy request the phase is a share of its own cost: it is as rare from the first moment on as later.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import ceil, floor, sqrt
+from math import floor, sqrt
 
 LIGHT = 1.0  # mean requests; what costs more is heavy
 PART = 0.2  # of what a cold worker bears from all schedulers together: light requests, and heavy ones
 ONE_REQUEST = 0.5  # of that; a request that costs more is not sent there at all
-KEEP = 2.0  # windows for which an unused allowance is kept; with less, classes that come seldom starve
-KEPT_MOST = 1.0  # mean requests that one scheduler may have saved up, however few there are
 FEW = 30.0  # mean requests; of a smaller budget the rule puts more down to chance
 CHANCE, CHANCE_FEW = 2.0, 3.0  # times the root of the budget, and as many requests on top
 GOLDEN = 0.618033988749895  # multiples of it fall evenly into [0, 1)
@@ -68,17 +63,14 @@
             self.heavy += earned
         self.counted_at = now
 
-    def admits(self, cost: float, per_window: float) -> bool:
-        """Whether a request of a cost may go now; forgets what was saved up for too long.
-
-        ``per_window``: this scheduler's rate, in mean requests a window.
-        """
-        owed = (1.0 - self.phase) * cost
+    def admits(self, cost: float) -> bool:
+        """Whether a request of a cost may go now; forgets what was saved up beyond one request."""
         if cost <= LIGHT:
-            saved = self.light = _kept(self.light, owed, cost, min(KEEP * per_window, KEPT_MOST))
-        else:
-            saved = self.heavy = _kept(self.heavy, owed, cost, KEEP * per_window)
-        return saved >= owed
+            self.light = min(self.light, LIGHT - self.phase)
+            return self.light + self.phase >= cost
+        owed = (1.0 - self.phase) * cost
+        self.heavy = min(self.heavy, owed)
+        return self.heavy >= owed
 
     def spend(self, cost: float) -> None:
         """A request of a cost was sent."""
@@ -86,13 +78,3 @@
             self.light -= cost
         else:
             self.heavy -= cost
-
-
-def _kept(saved: float, owed: float, cost: float, keep: float) -> float:
-    """What is left of an allowance: at most ``keep`` beyond what the next request is owed."""
-    excess = saved - owed - keep
-    if excess <= 0.0:
-        return saved
-    if keep >= cost:
-        return saved - excess
-    return saved - cost * ceil(excess / cost)  # whole turns, so that the phases stay as they are spread
--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -361,7 +361,7 @@
             # The sum over the gateways that are heard is known: it holds for them together, and they have
             # their part of what the rule lets all of them send.  Others may be cut off, and send as well.
             return (out := self._out(w)) <= 0.0 or out + job.slots <= slots * part
-        return w.cold.admits(cost, per_window)
+        return w.cold.admits(cost)
 
     def _cold_budget(self, w: Worker, job: Job, now: float) -> float:
         """Mean jobs that the rule allows a cold worker now in ``fall_ms``, guessed by what warm ones bear.
