Slow start: phases are reckoned in whole numbers, as a worker's identity has 64 bits

The model's workers have small numbers, so no test saw it. Change: the product is taken modulo 2 ** 64 in whole numbers. A test of the phases at a real identity; it fails on the code before (two of its three cases).

--- a/gaphub/cold_start.py
+++ b/gaphub/cold_start.py
@@ -17,14 +17,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import floor, sqrt
+from math import sqrt
 
 LIGHT = 1.0  # mean requests; what costs more is heavy
 PART = 0.2  # of what a cold worker bears from all schedulers together: light requests, and heavy ones
 ONE_REQUEST = 0.5  # of that; a request that costs more is not sent there at all
 FEW = 30.0  # mean requests; of a smaller budget the rule puts more down to chance
 CHANCE, CHANCE_FEW = 2.0, 3.0  # times the root of the budget, and as many requests on top
-GOLDEN = 0.618033988749895  # multiples of it fall evenly into [0, 1)
+GOLDEN = 0x9E3779B97F4A7C15  # of 2 ** 64: multiples of it fall evenly into the range
+RANGE = 2 ** 64
 
 
 def bears(budget: float) -> float:
@@ -39,8 +40,9 @@
     ``worker``: a number that is the same at every scheduler, so that parts are dealt out anew at each worker.
     ``random``: evenly spread in [0, 1).
     """
-    place = (scheduler + random) / schedulers + worker * GOLDEN
-    return place - floor(place)
+    # In whole numbers: a worker's number has 64 bits, of which a float would keep no fraction.
+    start = worker * GOLDEN % RANGE / RANGE
+    return ((scheduler + random) / schedulers + start) % 1.0
 
 
 @dataclass(slots=True)
--- a/tests/test_cold_sums.py
+++ b/tests/test_cold_sums.py
@@ -7,13 +7,17 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 
 import pytest
 
+from gaphub.cold_start import phase_of
 from gaphub.interface import ClassSettings, Effect, Settings
 from gaphub.lab.model import Fleet, Load, Machine
+from gaphub.messages import identity
 
+SCHEDULERS = 30
 SLOTS = 8
 WORKERS = 12
 BACK = [1, 2, 3]  # the workers that restart
@@ -67,6 +71,15 @@
 COURSES = [a_burst_after_a_quiet_time, workers_that_restart_twice, a_restart_of_all_schedulers]
 
 
+@pytest.mark.parametrize("worker", [7, identity("discovery", "s-0badcafe"), 2**64 - 1])
+def test_the_phases_of_all_schedulers_at_a_worker_are_evenly_spread(worker: int) -> None:
+    phases = sorted(phase_of(me, SCHEDULERS, worker, 0.5) for me in range(SCHEDULERS))
+    gaps = [after - before for before, after in itertools.pairwise(phases)]
+    assert all(0.0 <= phase < 1.0 for phase in phases)
+    assert gaps == pytest.approx([1.0 / SCHEDULERS] * (SCHEDULERS - 1))
+    assert phases != sorted(phase_of(me, SCHEDULERS, worker - 1, 0.5) for me in range(SCHEDULERS))
+
+
 @pytest.mark.parametrize("schedulers", [2, 3, 30])
 @pytest.mark.parametrize("course", COURSES)
 def test_the_budget_of_a_slow_worker_in_slow_start_holds_over_the_sum_of_all_schedulers(
