--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,108 @@
+"""New clients that come while many others hold connections and never finish a request.
+
+Each newcomer has one job on a new connection and must be served within its time, whatever the size of the crowd.
+One play says little about a newcomer that is unlucky, so there are many in each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from gaphub.lab.world import Agent, Workers
+
+from .crowd import crowd
+from .processes import Process, counters, running
+from .scenario import free_port
+
+DESCRIPTORS = 640
+WORKERS = 8
+NEWCOMERS = 40
+APART_S = 0.25
+TIME_MS = 2_900  # that a newcomer gives its job
+PATIENCE_S = 5.0
+GATHER_S = 2.0  # for the crowd to come
+CROWD_S = 60.0
+TOTAL_RETRANS = 100  # where ``tcpi_total_retrans`` stands in ``struct tcp_info``
+
+pytestmark = pytest.mark.usefixtures("own_descriptors")
+
+
+@dataclass
+class Newcomer:
+    """One client with one job: its answer's status (0: none in its patience), and its times."""
+
+    status: int = 0
+    dropped: int = 0  # SYNs of its that found no place in the queue
+    connect_s: float = PATIENCE_S
+    answer_s: float = PATIENCE_S
+
+
+def sent_again(sock: socket.socket) -> int:
+    """How many segments of a connection were sent once more; of a new one these are SYNs."""
+    raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TOTAL_RETRANS + 4)
+    return int(struct.unpack_from("I", raw, TOTAL_RETRANS)[0])
+
+
+async def newcomer(port: int, ident: str) -> Newcomer:
+    found, began = Newcomer(), time.monotonic()
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            found.connect_s = time.monotonic() - began
+            found.dropped = sent_again(writer.get_extra_info("socket"))
+            writer.write(f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\nX-Priority-Class: poloha\r\n"
+                         f"X-Timeout: {TIME_MS}m\r\nContent-Length: 0\r\n\r\n".encode())
+            line = await reader.readline()
+            found.status = int(line.split()[1]) if line else 0
+            found.answer_s = time.monotonic() - began
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    return found
+
+
+async def play(size: int, folder: Path) -> list[Newcomer]:
+    """Newcomers one after another while a crowd of a size is there."""
+    workers = Workers({"poloha": 20.0})
+    await workers.open(WORKERS)
+    agent = Agent(workers.addresses)
+    await agent.open()
+    one = Process(folder, free_port(), agent, "one", DESCRIPTORS, limits={"memory_mb": 64, "sockets": DESCRIPTORS})
+    with running([one]):
+        await one.ready()
+        with crowd(one.listen, size, CROWD_S):
+            await asyncio.sleep(GATHER_S)
+            used = one.processor_s()
+            began = time.monotonic()
+            tasks = []
+            for i in range(NEWCOMERS):
+                tasks.append(asyncio.create_task(newcomer(one.listen, f"new-{i}")))
+                await asyncio.sleep(APART_S)
+            found = await asyncio.gather(*tasks)
+            share = (one.processor_s() - used) / (time.monotonic() - began)
+        counts = await counters(one.listen)
+    workers.close()
+    agent.close()
+    connect, answer = sorted(n.connect_s for n in found), sorted(n.answer_s for n in found)
+    print(f"{size} in the crowd: {dict(Counter(n.status for n in found))}; p90 and most: connect "
+          f"{connect[-4]:.2f}, {connect[-1]:.2f} s, answer {answer[-4]:.2f}, {answer[-1]:.2f} s; "
+          f"{share:.2f} of a core at once")
+    print(counts.splitlines()[-1])
+    return found
+
+
+@pytest.mark.parametrize("size", [300, 700, 1_400, 2_800])
+def test_newcomers_are_served_while_a_crowd_holds_connections(size: int, tmp_path: Path) -> None:
+    found = asyncio.run(play(size, tmp_path))
+    assert [n for n in found if n.status != 200 or n.dropped] == []
