Accepting: a queue of 4,096, room made in batches, idle time counted from the kernel's word

Cause: the accept queue of 512 overflows and the kernel drops the newcomer's SYN (tcp_info of those connections counts it sent again; connecting takes 1, 2, 4 s). It moves slowly, as room is made for one at a time by two looks at all sessions, and each newcomer is accepted through a task that the next waits for: a core for 1,100 a second.

Mend: the queue is as long as a large crowd; accepting goes in bursts, room is made by one look for a batch, bounded so that a crowd that comes again does not take a core; who waited in the queue and said nothing goes as soon as it is accepted, as idle time counts from when the kernel last heard of it. What lies unread in the kernel is looked at before a connection is judged, and a first request's time runs out only after the sockets were polled.

--- a/gaphub/net/arrival.py
+++ b/gaphub/net/arrival.py
@@ -19,6 +19,7 @@
 
 TCP_INFO_SIZE = 104  # bytes; older kernels fill in fewer
 LAST_DATA_RECEIVED = 52  # where ``tcpi_last_data_recv`` stands in ``struct tcp_info``: 32 bits, ms
+LAST_ACK_RECEIVED = 56  # and ``tcpi_last_ack_recv``, likewise
 SLEPT_S = 0.001  # a selector that took longer had to wait for what it found
 
 
@@ -51,15 +52,25 @@
         super().__init__(self.selector)
 
 
-def since_last_data_ms(sock: socket.socket) -> float | None:
-    """How long ago a TCP connection last received data, by the kernel; None where that does not tell."""
+def tcp_info(sock: socket.socket, place: int) -> int | None:
+    """A 32-bit number at a place in the kernel's ``struct tcp_info``; None where it does not tell."""
     try:
         raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
     except OSError:
         return None
-    if len(raw) < LAST_DATA_RECEIVED + 4 or not raw[0]:  # no connection's state is 0: it was not filled in
+    if len(raw) < place + 4 or not raw[0]:  # no socket's state is 0: it was not filled in
         return None
-    return float(struct.unpack_from("I", raw, LAST_DATA_RECEIVED)[0])
+    return int(struct.unpack_from("I", raw, place)[0])
+
+
+def since_last_data_ms(sock: socket.socket) -> float | None:
+    """How long ago a TCP connection last received data, by the kernel; None where that does not tell."""
+    return tcp_info(sock, LAST_DATA_RECEIVED)
+
+
+def since_last_segment_ms(sock: socket.socket) -> float:
+    """How long ago a TCP connection's peer was last heard of: one that has sent nothing, as it connected; ms."""
+    return float(tcp_info(sock, LAST_ACK_RECEIVED) or 0)
 
 
 def age_ms(sock: socket.socket, loop: asyncio.AbstractEventLoop) -> float:
--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -26,7 +26,6 @@
 from .request import BadRequestError, check_head, parse_job, parse_key, passed_on
 from .session import ClientSession, SessionProtocol
 from .tunables import (
-    BACKLOG,
     BODIES_PART,
     BODY_MOST,
     DROP_S,
@@ -60,7 +59,7 @@
 )
 
 __all__ = [
-    "BACKLOG", "BODIES_PART", "BODY_MOST", "BadRequestError", "ClientSession", "Connection", "ConnectionLostError",
+    "BODIES_PART", "BODY_MOST", "BadRequestError", "ClientSession", "Connection", "ConnectionLostError",
     "DROP_S", "Drain", "EarlyAnswerError", "FRESH_S", "HOLD_S", "IDLE_LEAVING_S", "IDLE_PART", "INBOUND_PART",
     "Inbound", "LEAVE_AIMS", "LEAVE_LEAST_MS", "LEAVE_MORE_MS", "LEAVE_MOST_MS", "LEAVE_RETURN_MS",
     "LEAVE_SLACK_MS", "LINE_MOST", "LINGER_ERROR_S", "LINGER_MOST", "LINGER_S", "Line", "NeverWrittenError",
--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -18,6 +18,7 @@
 from ...core import Core
 from ...messages import Answer, Ending, Fence, Job
 from ...metrics import Counters
+from ..timeouts import timeout_after_poll
 from . import tunables
 from .drain import Drain
 from .request import BadRequestError, check_head, parse_job
@@ -50,7 +51,7 @@
 
     async def _serve(self, http: h11.Connection, session: ClientSession) -> None:
         while True:
-            session.waits = self.core.clock.now()
+            session.waits = self.core.clock.now() if session.asked else session.since
             try:
                 found = await self._read(http, session)
                 if found is None:
@@ -103,6 +104,16 @@
             return session.since + tunables.FRESH_S * 1000.0
         return begun_at + tunables.REQUEST_S * 1000.0 if begun_at else None
 
+    async def _read_until(self, session: ClientSession, until: float | None) -> bytes:
+        """What comes by a time; TimeoutError past it, if nothing lies ready in the kernel then.
+
+        Guards against judging a client by a hold-up of this process, or by its wait in the accept queue.
+        """
+        if until is None or session.unread:
+            return await session.read()
+        async with timeout_after_poll((until - self.core.clock.now()) / 1000.0):
+            return await session.read()
+
     async def _read(self, http: h11.Connection, session: ClientSession) -> tuple[h11.Request, bytes, float] | None:
         """The next whole request, and when its first byte had come; None when the client closes."""
         request: h11.Request | None = None
@@ -121,10 +132,8 @@
                     # Between requests a client may be silent as long as it likes, inside one and before
                     # its first it may not.
                     until = self._until(session, begun_at)
-                    left_s = None if until is None else (until - self.core.clock.now()) / 1000.0
                     try:
-                        async with asyncio.timeout(left_s):
-                            data = await session.read()
+                        data = await self._read_until(session, until)
                     except TimeoutError:
                         if session.unread and not begun_at:
                             continue  # the first bytes came in this very moment: they are looked at first
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -16,9 +16,12 @@
 from ...messages import Fence
 from ...metrics import Counters
 from ...tasks import Tasks
+from ..arrival import since_last_segment_ms
+from ..listener import BACKLOG, BACKLOG_ENDING, Acceptor
 from . import reuseport, tunables
 from .drain import Drain
 from .handler import RequestHandler
+from .room import who_may_yield
 from .session import ClientSession, SessionProtocol
 
 
@@ -39,8 +42,9 @@
                                       int(config.limits.memory_mb * 1e6 * tunables.BODIES_PART * part))
         self._serial = 0
         self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None  # None: it listens no longer
         self._accepting: asyncio.Task[None] | None = None
-        self._arriving: asyncio.Task[None] | None = None  # the last connection's taking in
+        self._arriving = 0  # connections that are accepted and not in ``sessions`` yet
         self._tasks = Tasks(counters)
 
     async def open(self) -> None:
@@ -55,47 +59,22 @@
         # Inherited by connections: bounds what one that sends without end may have in our memory.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, tunables.RECEIVE)
         listener.bind(found[0][4])
-        listener.listen(tunables.BACKLOG)
+        listener.listen(BACKLOG)
         if self.shared:
             reuseport.share_out(listener)  # a process that left may have had all given to its successor
-        self._accepting = self._tasks.start(self._accept(listener))
+        self._acceptor = Acceptor(listener, self, self.counters, "connections")
+        self._accepting = self._tasks.start(self._acceptor.run())
 
     async def _stop_accepting(self) -> None:
-        """Take in whoever the kernel has given to this process, and listen no longer.
-
-        What waits at a listener that is closed is reset, though another process listens at the same address;
-        so the last look and the close stand next to each other.
-        """
-        if self._listener is None or self._accepting is None:
+        """Take in whoever the kernel has given to this process, as room comes, and listen no longer."""
+        if self._acceptor is None or self._accepting is None:
             return
         self._accepting.cancel()
-        await asyncio.wait([self._accepting, *([self._arriving] if self._arriving else [])])
-        left: list[socket.socket] = []
-        while not self._accept_waiting(self._listener, left):
-            await asyncio.sleep(tunables.ACCEPT_AGAIN_S)
-        self._listener.close()
-        self._listener = None
-        for sock in left:
-            sock.setblocking(False)
-            await self._take_in(sock)
-
-    def _accept_waiting(self, listener: socket.socket, into: list[socket.socket]) -> bool:
-        """Accept all who wait; False if it failed before that.
-
-        Guards against errors of one connection or one moment, after which others wait still.  Room is made where
-        that may be what is wanting.
-        """
-        failures = 0
-        while failures < tunables.ACCEPT_FAILURES:
-            try:
-                into.append(listener.accept()[0])
-            except BlockingIOError:
-                return True
-            except OSError as error:
-                self.counters.log("connections.not_accepted", repr(error))
-                failures += 1
-        self._make_room()
-        return False
+        await asyncio.wait([self._accepting])
+        ends_at = self.drain.ends_at + tunables.LEAVE_LAST_MS
+        if left := await self._acceptor.finish(lambda: self.core.clock.now() > ends_at):
+            self.counters.log("connections.left_waiting", f"{left} at the end")
+        self._acceptor = self._listener = None
 
     async def leave(self, others_serve: Callable[[], bool], successor: bool = False,
                     place: int = reuseport.SECOND) -> None:
@@ -124,8 +103,11 @@
             await asyncio.sleep(0.02)
             self.drain.hasten(self._longest_deadline_ms())
         self.drain.leaving = True
+        if self._listener is not None:
+            # Guards against a crowd that fills the queue up to the end: what waits at the close is to be taken in.
+            self._listener.listen(BACKLOG_ENDING)
         while True:
-            while self.sessions or self.core.open_jobs:
+            while self.sessions or self._arriving or self.core.open_jobs:
                 self.drain.hasten(self._longest_deadline_ms())
                 if now() < self.drain.ends_at:
                     self._close_resting(now() - tunables.IDLE_LEAVING_S * 1000.0)
@@ -166,28 +148,33 @@
         if self._listener is not None:
             self._listener.close()
 
-    async def _accept(self, listener: socket.socket) -> None:
-        """Accept one connection at a time, so that a burst of them never passes the clients' part."""
-        loop = asyncio.get_running_loop()
-        while True:
-            while len(self.sessions) >= self.room:
-                await asyncio.sleep(0.0 if self._make_room() else 0.01)
-            try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                await _readable(loop, listener)
-                continue
-            except OSError as error:
-                self.counters.log("connections.not_accepted", repr(error))
-                await asyncio.sleep(tunables.ACCEPT_AGAIN_S)
-                continue
-            sock.setblocking(False)
-            # A task of its own, waited for: an accepted connection is taken in even if accepting ends meanwhile.
-            self._arriving = self._tasks.start(self._take_in(sock))
-            await asyncio.wait([self._arriving])
+    # -- what the acceptor asks of its owner --
+
+    def free(self) -> int:
+        """How many more connections clients may have."""
+        return self.room - len(self.sessions) - self._arriving
+
+    def make_room(self, wanted: int) -> bool:
+        """Have some connections end, as so many newcomers wait; whether any is about to."""
+        if self.core.clock.now() > self.drain.ends_at:
+            self._hurry()
+        return self._make_room(wanted)
+
+    def take_in(self, sock: socket.socket) -> None:
+        """Serve a connection that was accepted."""
+        sock.setblocking(False)
+        self._arriving += 1
+        self._tasks.start(self._arrive(sock))
+
+    async def _arrive(self, sock: socket.socket) -> None:
+        try:
+            await self._take_in(sock)
+        finally:
+            self._arriving -= 1
 
     async def _take_in(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
+        since = self.core.clock.now() - since_last_segment_ms(sock)
         try:
             reader = asyncio.StreamReader(limit=tunables.RECEIVE)
             protocol = SessionProtocol(reader, self.core.clock.now)
@@ -197,24 +184,38 @@
             return
         self.counters.add("connections.inbound")
         self._serial += 1
-        session = ClientSession(reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol,
-                          self.core.clock.now())
+        session = ClientSession(reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol, since)
         self.sessions[self._serial] = session
         self._tasks.start(self._serve(self._serial, session))
 
-    def _make_room(self) -> bool:
-        """Whether a connection is on its way out, if need be one that is made to go."""
-        if any(s.yielded for s in self.sessions.values()):
-            return True
+    def _make_room(self, wanted: int = 1) -> bool:
+        """Whether a connection is on its way out, if need be some that are made to go.
+
+        Guards against judging a client by a time in which this process was held up: what it sent meanwhile lies in
+        the kernel, so that is looked at before its connection is taken for an idle one.
+        """
         now = self.core.clock.now()
-        found = [(place, n) for n, s in self.sessions.items() if (place := s.may_yield(now)) is not None]
-        if not found:
-            return False
+        going = sum(session.yielded for session in self.sessions.values())
+        wanted = min(wanted, tunables.YIELD_MOST, max(1, int(self.room * tunables.YIELD_PART))) - going
+        for session in who_may_yield(self.sessions.values(), now, wanted):
+            if wanted <= 0:
+                break
+            if session.unread_in_kernel:
+                self.counters.add("connections.not_yielded")
+                continue
+            self._yield(session, now)
+            wanted -= 1
+            going += 1
+        return going > 0
+
+    def _yield(self, session: ClientSession, now: float) -> None:
+        """Have a connection end to make room."""
         self.counters.add("connections.yielded")
-        session = self.sessions[min(found)[1]]
+        self.counters.add("connections.yielded_" + session.place.name.lower())
+        if session.writes:
+            self.counters.log("connections.yielded_writing", session.describe(now))
         session.yielded = True
         session.writer.transport.abort()
-        return True
 
     async def _serve(self, number: int, session: ClientSession) -> None:
         writer = session.writer
@@ -230,22 +231,3 @@
                     await writer.wait_closed()
             writer.transport.abort()
             del self.sessions[number]
-
-
-def _be_told(there: asyncio.Future[None]) -> None:
-    if not there.done():
-        there.set_result(None)
-
-
-async def _readable(loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
-    """Wait until there is somebody to accept.
-
-    Guards against a connection that is lost because accepting is called off just as it was accepted: with
-    ``loop.sock_accept`` its socket would be the result of a call that nobody reads any more.
-    """
-    there: asyncio.Future[None] = loop.create_future()
-    loop.add_reader(listener.fileno(), _be_told, there)
-    try:
-        await there
-    finally:
-        loop.remove_reader(listener.fileno())
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -9,10 +9,12 @@
 import select
 import socket
 from collections.abc import Callable
+from enum import IntEnum
 
 import h11
 
-from ..arrival import ArrivalLog, age_ms
+from ..arrival import ArrivalLog, age_ms, since_last_data_ms
+from ..listener import readable
 from . import tunables
 
 
@@ -32,7 +34,7 @@
         self.left_at = 0.0
         self.heard = 0  # bytes that have come
         self.pieces = 0  # in so many reads from the socket
-        self.heard_at = 0.0  # when the last of them were read from the socket; 0: none have come
+        self.heard_at = 0.0  # when the last of them had come to this machine; 0: none have come
         self.arrivals = ArrivalLog()
         self._socket: socket.socket | None = None
 
@@ -45,9 +47,9 @@
         """Bytes have come; whoever reads them has yet to be woken."""
         self.heard += len(data)
         self.pieces += 1
-        self.heard_at = self.now()
         assert self._socket is not None
-        self.arrivals.note(len(data), self.heard_at - age_ms(self._socket, asyncio.get_running_loop()))
+        self.heard_at = self.now() - age_ms(self._socket, asyncio.get_running_loop())
+        self.arrivals.note(len(data), self.heard_at)
         super().data_received(data)
 
     def eof_received(self) -> bool | None:
@@ -61,6 +63,14 @@
         super().connection_lost(exc)
 
 
+class Place(IntEnum):
+    """Among those that make room for newcomers, the first to go first; the index of ``tunables.YIELD_MS``."""
+
+    SILENT = 0  # nothing has come
+    BEGUN = 1  # a piece of a first request, or no request but a GET
+    GOOD = 2  # has carried a job, or goes on writing its first request
+
+
 class ClientSession:
     """One inbound connection; its handler task is its owner."""
 
@@ -68,12 +78,13 @@
                  "flooded", "taken", "ahead")
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, protocol: SessionProtocol,
-                 now: float) -> None:
+                 since: float) -> None:
+        """``since``: when it was connected, as far as that is known."""
         self.reader = reader
         self.writer = writer
         self.protocol = protocol
-        self.since = now  # when it was accepted
-        self.waits: float | None = now  # since when the client is to send something; None: we are at work
+        self.since = since
+        self.waits: float | None = since  # since when the client is to send something; None: we are at work
         self.asked = False  # has carried a whole good request
         self.served = False  # has carried a job
         self.yielded = False  # was made to go, and is about to
@@ -125,18 +136,46 @@
         return (self.waits is not None and self.waits < before and not self.halfway and not self.unread
                 and not self.writer.transport.get_write_buffer_size())
 
-    def may_yield(self, now: float) -> tuple[int, float] | None:
-        """Its place among those that make room for a newcomer, the least first; None: it stays.
+    def rank(self, now: float) -> tuple[Place, float] | None:
+        """Its place among those that make room for a newcomer and since when it is idle; None: it stays.
 
         Guards against crowds that hold connections and send nothing, begin a request or asked once and stay:
         without this they filled the clients' part, and jobs were refused for want of a connection.  Who goes on
         with a first request is told from those by its second piece.
         """
-        if self.waits is None or self.unread:
+        if self.waits is None or self.yielded or self.unread:
             return None
         if self.writer.transport.get_write_buffer_size() and now - self.waits < tunables.TAKE_S * 1000.0:
             return None  # its answer is still being taken
-        writes = self.protocol.pieces > 1 and not self.asked  # a first request, slowly
-        place = 2 if self.served or writes else 1 if self.protocol.pieces else 0
         since = max(self.waits, self.protocol.heard_at)  # who still writes goes after who says nothing
-        return (place, since) if now - since >= tunables.YIELD_MS[place] else None
+        return self.place, since
+
+    @property
+    def place(self) -> Place:
+        """What it has carried so far."""
+        if self.served or self.writes:
+            return Place.GOOD
+        return Place.BEGUN if self.protocol.pieces else Place.SILENT
+
+    @property
+    def writes(self) -> bool:
+        """Whether it goes on with a first request."""
+        return self.protocol.pieces > 1 and not self.asked
+
+    def may_yield(self, now: float) -> tuple[Place, float] | None:
+        """``rank``, if it has been idle for long enough to make room."""
+        found = self.rank(now)
+        return found if found is not None and now - found[1] >= tunables.YIELD_MS[found[0]] else None
+
+    @property
+    def unread_in_kernel(self) -> bool:
+        """Whether bytes or an end have come that this process has yet to read."""
+        return readable(self.writer.get_extra_info("socket").fileno())
+
+    def describe(self, now: float) -> str:
+        """Its state, for the log."""
+        heard = self.protocol.heard_at
+        last = f"the last {now - heard:.0f} ms ago" if heard else "none yet"
+        by_kernel = since_last_data_ms(self.writer.get_extra_info("socket"))
+        return (f"open for {now - self.since:.0f} ms; {self.protocol.heard} bytes in {self.protocol.pieces} reads,"
+                f" {last}, by the kernel {by_kernel} ms ago")
--- /dev/null
+++ b/gaphub/net/listener.py
@@ -0,0 +1,148 @@
+"""Listening sockets: how many connections wait at one, and accepting them within the room that their owner has.
+
+It must never read from a connection, nor close one: the owner does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import Protocol
+
+from ..metrics import Counters
+from .arrival import tcp_info
+
+# Connections that may wait to be accepted; the kernel may allow fewer (net.core.somaxconn).  One that finds the
+# queue full is not refused: its SYN is dropped, and its client tries again after 1, 2 and 4 s.
+BACKLOG = 4096
+BACKLOG_ENDING = 64  # for a listener that is about to close: what waits then has to be accepted at once
+ACCEPT_MOST = 64  # connections accepted in one turn of the event loop
+ACCEPT_AGAIN_S = 0.01  # after accepting has failed
+ACCEPT_FAILURES = 4  # in a row, before that pause
+ROOM_AGAIN_S = 0.005  # from making room to the next look
+QUEUE_LENGTH = 24  # where ``tcpi_unacked`` stands in ``struct tcp_info``: of a listener, connections that wait
+
+
+def waiting(listener: socket.socket) -> int:
+    """How many connections wait to be accepted; where the kernel does not tell, 1 if there are any."""
+    found = tcp_info(listener, QUEUE_LENGTH)
+    return int(readable(listener.fileno())) if found is None else found
+
+
+def readable(descriptor: int) -> bool:
+    """Whether something lies ready in the kernel: bytes, an end, or a connection to accept.
+
+    A descriptor that is closed (-1) has come to its end.
+    """
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+class Owner(Protocol):
+    """Who has the connections that are accepted."""
+
+    def free(self) -> int:
+        """How many more it may have now."""
+
+    def make_room(self, wanted: int) -> bool:
+        """Have some end, as so many wait; whether any is about to."""
+
+    def take_in(self, sock: socket.socket) -> None:
+        """Have this one."""
+
+
+class Found(Enum):
+    """What a look at the queue ended with."""
+
+    NOBODY = auto()  # nobody waits any more
+    NO_ROOM = auto()
+    FAILURES = auto()
+    ENOUGH = auto()  # for this turn of the event loop
+
+
+class Acceptor:
+    """Accepts for an owner, in bursts, so that what a connection costs stays small, and never past its room."""
+
+    def __init__(self, listener: socket.socket, owner: Owner, counters: Counters, name: str) -> None:
+        """``name``: what failures are counted under, ``NAME.not_accepted``."""
+        self.listener = listener
+        self.owner = owner
+        self.counters = counters
+        self.failed = f"{name}.not_accepted"
+
+    async def run(self) -> None:
+        """Accept for ever."""
+        while True:
+            await _until_readable(self.listener)
+            await self._pause(self._accept_some())
+
+    async def finish(self, late: Callable[[], bool]) -> int:
+        """Accept all who wait, as room comes, and close; how many were left, as it was ``late`` before the end.
+
+        What waits at a listener that is closed is reset, though another process listens at the same address; so
+        the last look and the close stand next to each other.
+        """
+        while (found := self._accept_some()) is not Found.NOBODY and not late():
+            await self._pause(found)
+        left = 0 if found is Found.NOBODY else waiting(self.listener)
+        self.listener.close()
+        return left
+
+    def _accept_some(self) -> Found:
+        """Accept who waits, up to a number.
+
+        Guards against errors of one connection or one moment, after which others wait still.
+        """
+        failures = 0
+        for _ in range(ACCEPT_MOST):
+            if self.owner.free() <= 0:
+                return Found.NO_ROOM
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return Found.NOBODY
+            except OSError as error:
+                self.counters.log(self.failed, repr(error))
+                failures += 1
+                if failures >= ACCEPT_FAILURES:
+                    return Found.FAILURES
+            else:
+                self.owner.take_in(sock)
+        return Found.ENOUGH
+
+    async def _pause(self, found: Found) -> None:
+        """Let others work before the next look; make room where that may be what is wanting."""
+        if found is Found.NO_ROOM:
+            self.owner.make_room(waiting(self.listener))
+            await asyncio.sleep(ROOM_AGAIN_S)
+        elif found is Found.FAILURES:
+            self.owner.make_room(1)
+            await asyncio.sleep(ACCEPT_AGAIN_S)
+        else:
+            await asyncio.sleep(0.0)
+
+
+def _be_told(there: asyncio.Future[None]) -> None:
+    if not there.done():
+        there.set_result(None)
+
+
+async def _until_readable(listener: socket.socket) -> None:
+    """Wait until there is somebody to accept.
+
+    Guards against a connection that is lost because accepting is called off just as it was accepted: with
+    ``loop.sock_accept`` its socket would be the result of a call that nobody reads any more.
+    """
+    loop = asyncio.get_running_loop()
+    there: asyncio.Future[None] = loop.create_future()
+    loop.add_reader(listener.fileno(), _be_told, there)
+    try:
+        await there
+    finally:
+        loop.remove_reader(listener.fileno())
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 import struct
 import time
@@ -19,8 +20,11 @@
 from gaphub.lab.world import Agent, Workers
 
 from .crowd import crowd
+from .fleet import play as in_time
 from .processes import Process, counters, running
 from .scenario import free_port
+from .test_shutdown_limits import Site
+from .test_slow_clients import PATIENT, WITHIN_S, write_slowly
 
 DESCRIPTORS = 640
 WORKERS = 8
@@ -106,3 +110,56 @@
 def test_newcomers_are_served_while_a_crowd_holds_connections(size: int, tmp_path: Path) -> None:
     found = asyncio.run(play(size, tmp_path))
     assert [n for n in found if n.status != 200 or n.dropped] == []
+
+
+WRITERS = 8
+HELD_S = 0.15  # the pages' hold-up of a process
+BETWEEN_S = 0.25  # from one to the next
+CROWDED_DESCRIPTORS = 128
+CROWD_OF_FEW = 400
+
+
+async def hold_up_scheduler(one: Process) -> None:
+    """Stop a process and let it go on, again and again."""
+    try:
+        while True:
+            one.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(HELD_S)
+            one.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(BETWEEN_S)
+    finally:
+        one.process.send_signal(signal.SIGCONT)
+
+
+async def hold_up_clients(_: Process) -> None:
+    """The same to this process, whose clients write."""
+    while True:
+        time.sleep(HELD_S)  # nothing of this process goes on meanwhile
+        await asyncio.sleep(BETWEEN_S)
+
+
+HELD_UP = {"scheduler": hold_up_scheduler, "clients": hold_up_clients}
+
+
+@pytest.mark.parametrize("held_up", HELD_UP)
+def test_slow_writers_are_served_in_a_crowd_though_somebody_is_held_up(held_up: str, tmp_path: Path) -> None:
+    """A client that writes a piece every 0.2 s goes on writing, whatever the scheduler or itself missed.
+
+    A connection was taken for idle by when its last piece was read, and by how often it was read from.  What came
+    during a hold-up or while it waited to be accepted lies in the kernel: several pieces were read as one, and a
+    writer had 50 ms to spare between its first two.
+    """
+    got: list[bytes] = []
+
+    async def course(one: Process) -> None:
+        with crowd(one.listen, CROWD_OF_FEW, CROWD_S):
+            await asyncio.sleep(GATHER_S / 2)
+            holding = asyncio.create_task(HELD_UP[held_up](one))
+            got.extend(await asyncio.gather(*(write_slowly(one.listen, f"r{i}") for i in range(WRITERS))))
+            holding.cancel()
+            await asyncio.wait([holding])
+
+    crowded = Site(tmp_path, 0.01, grades=PATIENT)
+    crowded.more = {"limits": {"memory_mb": 64, "sockets": CROWDED_DESCRIPTORS}}
+    in_time(crowded.play(course), WITHIN_S)
+    assert all(b" 200 " in each for each in got), got
