Operators' address: callers make room only if they sent nothing, and their queue is long

Symptom: an operator's call in a burst of callers ended unread.

Cause: the same fault as in the clients' crowd, elsewhere. Accepting never gave way to the event loop while callers waited, and each one past the limit cancelled the oldest, often before it had been looked at; a task that is cancelled before it begins never closed its socket. The queue held 64.

Mend: the operators' address accepts by the same Acceptor as the clients' front, within its limit; a caller makes room when it has sent nothing for 20 ms and nothing of it lies in the kernel. Its connection is given back by the end of its task, also of one that never began.

Measured: tests/test_ops.py passes.

--- a/gaphub/net/ops.py
+++ b/gaphub/net/ops.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass, field
 from typing import Any
 
 import h11
@@ -19,13 +20,14 @@
 from ..config import Address
 from ..metrics import Counters
 from ..tasks import Tasks
+from .listener import BACKLOG, Acceptor, readable
 
 READ = 4096
 HEAD_MOST = 8192  # bytes of a call's head
 BODY_MOST = 256  # bytes; an id is shorter
 CALL_S = 0.9  # from a connection's start to the end of its call
 TAKE_S = 1.0  # for a caller to take its answer
-BACKLOG = 64
+YIELD_S = 0.02  # of a full house, a caller that has sent nothing for so long makes room
 _IDENT = re.compile(r"[!-~]{1,128}")
 
 Down = Callable[[str, bool], int]
@@ -39,6 +41,17 @@
         self.status = status
 
 
+@dataclass(slots=True, eq=False)
+class _Call:
+    """One connection, from its accepting to its end."""
+
+    sock: socket.socket
+    heard_at: float  # when it was accepted, or bytes of it were read last; s, by the event loop's clock
+    reads: bool = True  # the call has yet to come whole
+    yielded: bool = False  # was made to go, and is about to
+    task: asyncio.Task[None] = field(init=False)
+
+
 class Ops:
     """The listener; ``ready``, ``stats`` and ``move`` are asked for the answers.
 
@@ -55,7 +68,7 @@
         self.stats = stats
         self.move = move
         self._listener: socket.socket | None = None
-        self._waiting: dict[int, asyncio.Task[None]] = {}  # by number, the oldest first
+        self._calls: dict[int, _Call] = {}  # by number, the oldest first
         self._serial = 0
         self._tasks = Tasks(counters)
 
@@ -66,7 +79,7 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(self.listen)
         listener.listen(BACKLOG)
-        self._tasks.start(self._accept(listener))
+        self._tasks.start(Acceptor(listener, self, self.counters, "ops").run())
 
     async def close(self) -> None:
         """Give back the listener and every connection."""
@@ -74,34 +87,57 @@
         if self._listener is not None:
             self._listener.close()
 
-    async def _accept(self, listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(listener)
-            except OSError as error:
-                self.counters.log("ops.not_accepted", repr(error))
-                await asyncio.sleep(0.05)
-                continue
-            if len(self._waiting) >= self.most:
-                self.counters.add("ops.made_room")
-                self._waiting.pop(next(iter(self._waiting))).cancel()
-            self._serial += 1
-            self._waiting[self._serial] = self._tasks.start(self._serve(self._serial, sock))
+    # -- what the acceptor asks of its owner --
+
+    def free(self) -> int:
+        """How many more connections callers may have."""
+        return self.most - len(self._calls)
 
-    async def _serve(self, number: int, sock: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
+    def make_room(self, wanted: int) -> bool:
+        """Have callers end that send nothing, the oldest first; whether any is about to.
+
+        Guards against a crowd on this address: a call that was accepted among many was closed before it was read.
+        """
+        before = asyncio.get_running_loop().time() - YIELD_S
+        going = sum(call.yielded for call in self._calls.values())
+        for call in self._calls.values():
+            if going >= wanted:
+                break
+            if call.reads and not call.yielded and call.heard_at <= before and not readable(call.sock.fileno()):
+                self.counters.add("ops.made_room")
+                call.yielded = True
+                call.task.cancel()
+                going += 1
+        return going > 0
+
+    def take_in(self, sock: socket.socket) -> None:
+        """Answer the call of a connection that was accepted."""
+        sock.setblocking(False)
+        self._serial += 1
+        number = self._serial
+        call = _Call(sock, asyncio.get_running_loop().time())
+        self._calls[number] = call
+        call.task = self._tasks.start(self._serve(call))
+        call.task.add_done_callback(lambda _: self._ended(number))
+
+    def _ended(self, number: int) -> None:
+        """Give back a connection, also one whose task was cancelled before it began."""
+        self._calls.pop(number).sock.close()
+
+    async def _serve(self, call: _Call) -> None:
+        loop, sock = asyncio.get_running_loop(), call.sock
         try:
             http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
             try:
                 async with asyncio.timeout(CALL_S):
-                    status, body = self._answer(*await self._read(http, sock))
+                    status, body = self._answer(*await self._read(http, call))
             except BadCallError as error:
                 status, body = error.status, b""
             except h11.RemoteProtocolError as error:
                 status, body = error.error_status_hint, b""
             except TimeoutError:
                 status, body = 408, b""
+            call.reads = False
             self.counters.add("ops.calls" if status < 300 else "ops.refused")
             if http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body))),
@@ -115,13 +151,10 @@
                         pass  # a close with bytes unread would take the answer back
         except (OSError, TimeoutError):
             pass
-        finally:
-            self._waiting.pop(number, None)
-            sock.close()
 
-    async def _read(self, http: h11.Connection, sock: socket.socket) -> tuple[str, str, bytes]:
+    async def _read(self, http: h11.Connection, call: _Call) -> tuple[str, str, bytes]:
         """Method, path and body of the call."""
-        loop = asyncio.get_running_loop()
+        loop, sock = asyncio.get_running_loop(), call.sock
         request: h11.Request | None = None
         body = b""
         while True:
@@ -131,6 +164,7 @@
                     go_on = http.send(h11.InformationalResponse(status_code=100, headers=[]))
                     await loop.sock_sendall(sock, go_on or b"")
                 http.receive_data(await loop.sock_recv(sock, READ))
+                call.heard_at = loop.time()
             elif isinstance(event, h11.Request):
                 request = event
                 length = dict(event.headers).get(b"content-length", b"0")
