Gearman: a long accept queue, and few sessions accepted in one turn

Cause: the same fault as in the clients' crowd, elsewhere: the queue held 256, so the SYNs of a burst were dropped, and asyncio accepts in one turn of the event loop as many as it was told may wait: 256 descriptors past the front's part, each held until it is refused.

Mend: 16 in a turn, and the queue is as long as that of the other fronts, set behind asyncio's back as it has one number for both.

--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -72,6 +72,7 @@
 from ...metrics import Counters
 from ...store import Store
 from ...tasks import Tasks
+from ..listener import BACKLOG
 from .ends import End, Ends
 from .functions import Functions
 from .session import Assigned, Session, Work
@@ -84,6 +85,7 @@
 SESSIONS_PART = 0.15  # of the descriptors
 QUEUE_MOST = 4  # jobs that wait for one worker's grab; past it the worker is full
 DATA_MOST = 64 * 1024  # of partial results kept for a client that cannot take them in parts
+ACCEPT_MOST = 16  # sessions accepted in one turn of the event loop, each a descriptor until it is refused
 TICK_S = 0.5
 HANDSHAKE_S = 3.0  # for a TLS handshake; a plain client on that port is closed by it
 AGAIN_S = 1.0  # a scheduled job that is due and finds no room waits so long
@@ -155,7 +157,6 @@
         made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         made.setblocking(False)
         made.bind(found[0][4])
-        made.listen(256)
         await self._listen_on(context)
 
     async def _listen_on(self, context: ssl.SSLContext | None) -> None:
@@ -163,8 +164,9 @@
         assert self._socket is not None
         before = self._server
         self._server = await asyncio.start_server(
-            self._serve, sock=self._socket.dup(), backlog=256, ssl=context,
+            self._serve, sock=self._socket.dup(), backlog=ACCEPT_MOST, ssl=context,
             ssl_handshake_timeout=HANDSHAKE_S if context is not None else None)
+        self._socket.listen(BACKLOG)  # asyncio accepts as many in a turn as it was told may wait
         if before is not None:
             before.close()
 
