HTTP front: bytes that come together with an answer are kept only where there is room

Symptom: 87 to 120 MB of 64 beside load under twelve clients that send ahead without end; 38 alone.

Cause: what a client sends past its open request is kept up to 256 KiB and the room for bodies, and that was asked only for bytes that came before the answer. What came in the same turn of the event loop as the answer was kept unasked, up to 64 KiB with each request of 150 bytes. On a busy machine both nearly always come together.

Mend: the end of reading ahead asks _keep_ahead like every other place, and a client without room floods as before. It holds at any speed, as no path is left that keeps without asking. The reading task is waited for and not awaited with its cancellation suppressed, which could hide the cancellation of the handler itself.

--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -230,11 +230,21 @@
         finally:
             if session.flooded:
                 self._flooding -= 1
-            read.cancel()  # bytes that have not been read by now stay in the reader
-            with suppress(OSError, asyncio.CancelledError):
-                if (data := await read) and not session.flooded:
-                    http.receive_data(data)
-                    self._account_for(session, len(http.trailing_data[0]))
+            await self._end_reading(read, http, session)
+
+    async def _end_reading(self, read: asyncio.Task[bytes], http: h11.Connection, session: ClientSession) -> None:
+        """Stop reading ahead: bytes that have not been read by now stay in the reader.
+
+        Guards against bytes that come in the same turn as the answer, as they do on a busy machine: they were kept
+        without asking for room, a chunk more with each request.
+        """
+        read.cancel()
+        await asyncio.wait([read])  # not awaited itself: suppressing its cancellation could hide our own
+        if read.cancelled() or read.exception() is not None:
+            return
+        data = read.result()
+        if data and not self._keep_ahead(http, session, data):
+            session.flooded = True
 
     async def _write(self, http: h11.Connection, session: ClientSession, status: int, body: bytes,
                      extra: Iterable[tuple[str, str]] = (), flooded: bool = False) -> None:
