--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 import signal
+import socket
 import time
 from collections import Counter
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +26,8 @@
 from .processes import Process, counters, job
 from .scenario import CLASSES, SETTINGS, Cast, free_port
 
+BURST = 60  # callers that connect at once
+WITHIN_S = 5.0  # for an answer; its time-out
 # The first call asks for the whole list: readiness waits for the answer.
 TOLD = """
     d expect GET /api/targets HTTP
@@ -80,6 +84,25 @@
     """, limits={"sockets": 256})
 
 
+def test_a_call_among_many_callers_that_say_nothing_is_answered() -> None:
+    """The call is the first of a burst that fills the queue before any is accepted; it was ended unread."""
+
+    async def play() -> None:
+        async with Cast(admin=f"127.0.0.1:{free_port()}", limits={"sockets": 256}) as cast:
+            assert cast.config.admin is not None
+            with ExitStack() as stack:
+                caller = stack.enter_context(socket.create_connection(cast.config.admin))
+                caller.sendall(b"GET /ops/readiness HTTP/1.1\r\nHost: o\r\n\r\n")
+                for _ in range(BURST):
+                    stack.enter_context(socket.create_connection(cast.config.admin))
+                await cast.play(TOLD)
+                caller.setblocking(False)
+                async with asyncio.timeout(WITHIN_S):
+                    assert b" 200 " in await asyncio.get_running_loop().sock_recv(caller, 4096)
+
+    asyncio.run(play())
+
+
 def test_a_worker_out_by_hand_gets_nothing_whatever_is_listed_until_it_is_put_back() -> None:
     run("""
         o send call PUT /ops/workers/down s-w
