HTTP front: pieces that came before a connection was accepted count each

Cause of what is mended: a client that goes on with its request is told from one that begins and stops by its second piece, and has 1 s between pieces where the other has 0.25 s. Pieces that came while it waited to be accepted (1.5 s in that crowd as found, by the kernel) were read as one, so it had 50 ms to spare before its next.

Mend: the kernel's count of data segments is taken at the first read.

--- a/gaphub/net/arrival.py
+++ b/gaphub/net/arrival.py
@@ -17,9 +17,10 @@
 import time
 from collections import deque
 
-TCP_INFO_SIZE = 104  # bytes; older kernels fill in fewer
+TCP_INFO_SIZE = 160  # bytes; older kernels fill in fewer
 LAST_DATA_RECEIVED = 52  # where ``tcpi_last_data_recv`` stands in ``struct tcp_info``: 32 bits, ms
 LAST_ACK_RECEIVED = 56  # and ``tcpi_last_ack_recv``, likewise
+DATA_SEGMENTS = 152  # and ``tcpi_data_segs_in``
 SLEPT_S = 0.001  # a selector that took longer had to wait for what it found
 
 
@@ -73,6 +74,11 @@
     return float(tcp_info(sock, LAST_ACK_RECEIVED) or 0)
 
 
+def data_segments(sock: socket.socket) -> int:
+    """In how many segments a TCP connection's bytes have come so far; 0 where the kernel does not tell."""
+    return tcp_info(sock, DATA_SEGMENTS) or 0
+
+
 def age_ms(sock: socket.socket, loop: asyncio.AbstractEventLoop) -> float:
     """How long ago bytes that the loop has just read had come, at the most; ms, 0 where nothing tells."""
     known = since_last_data_ms(sock)
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from ..arrival import ArrivalLog, age_ms, since_last_data_ms
+from ..arrival import ArrivalLog, age_ms, data_segments, since_last_data_ms
 from ..listener import readable
 from . import tunables
 
@@ -33,7 +33,7 @@
         self.now = now
         self.left_at = 0.0
         self.heard = 0  # bytes that have come
-        self.pieces = 0  # in so many reads from the socket
+        self.pieces = 0  # in so many segments, or reads from the socket
         self.heard_at = 0.0  # when the last of them had come to this machine; 0: none have come
         self.arrivals = ArrivalLog()
         self._socket: socket.socket | None = None
@@ -46,8 +46,10 @@
     def data_received(self, data: bytes) -> None:
         """Bytes have come; whoever reads them has yet to be woken."""
         self.heard += len(data)
-        self.pieces += 1
         assert self._socket is not None
+        # Guards against a client that goes on writing while it waits to be accepted: all that was read as one
+        # piece, and it was taken for one that begins a request and stops.
+        self.pieces += 1 if self.pieces else max(1, data_segments(self._socket))
         self.heard_at = self.now() - age_ms(self._socket, asyncio.get_running_loop())
         self.arrivals.note(len(data), self.heard_at)
         super().data_received(data)
@@ -177,5 +179,5 @@
         heard = self.protocol.heard_at
         last = f"the last {now - heard:.0f} ms ago" if heard else "none yet"
         by_kernel = since_last_data_ms(self.writer.get_extra_info("socket"))
-        return (f"open for {now - self.since:.0f} ms; {self.protocol.heard} bytes in {self.protocol.pieces} reads,"
+        return (f"open for {now - self.since:.0f} ms, {self.protocol.heard} bytes in {self.protocol.pieces} parts,"
                 f" {last}, by the kernel {by_kernel} ms ago")
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -18,11 +18,12 @@
 import pytest
 
 from gaphub.lab.world import Agent, Workers
+from gaphub.net.http import ClientSession, Inbound
 
 from .crowd import crowd
 from .fleet import play as in_time
 from .processes import Process, counters, running
-from .scenario import free_port
+from .scenario import Cast, free_port
 from .test_shutdown_limits import Site
 from .test_slow_clients import PATIENT, WITHIN_S, write_slowly
 
@@ -117,6 +118,7 @@
 BETWEEN_S = 0.25  # from one to the next
 CROWDED_DESCRIPTORS = 128
 CROWD_OF_FEW = 400
+PIECE_S = 0.1  # from one piece to the next: longer than a machine delays its acknowledgement
 
 
 async def hold_up_scheduler(one: Process) -> None:
@@ -163,3 +165,29 @@
     crowded.more = {"limits": {"memory_mb": 64, "sockets": CROWDED_DESCRIPTORS}}
     in_time(crowded.play(course), WITHIN_S)
     assert all(b" 200 " in each for each in got), got
+
+
+def test_pieces_that_came_before_a_connection_was_accepted_count_each() -> None:
+    """Who goes on writing while it waits to be accepted writes no less than one whose pieces are read singly."""
+
+    async def run() -> None:
+        sessions: list[ClientSession] = []
+        take_in = Inbound._take_in
+
+        async def noted(self: Inbound, sock: socket.socket) -> None:
+            await take_in(self, sock)
+            sessions.extend(self.sessions.values())
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Inbound, "_take_in", noted)
+            async with Cast() as cast:
+                with socket.create_connection(cast.config.listen) as client:
+                    for piece in (b"POST ", b"/api ", b"HTTP/1.1"):
+                        client.sendall(piece)
+                        time.sleep(PIECE_S)  # the event loop stands: nobody accepts
+                    async with asyncio.timeout(WITHIN_S):
+                        while not (sessions and sessions[0].protocol.heard):
+                            await asyncio.sleep(0.01)
+                    assert sessions[0].writes
+
+    asyncio.run(run())
