--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -133,10 +133,11 @@
         """Whether nothing is on its way on a connection that has waited since before a time.
 
         Guards against an answer that is still being taken, or a request that is half here or whole and not
-        looked at yet, when we leave: what this process has read is owed an answer.
+        looked at yet, when we leave: what this process has read is owed an answer.  Against a request, too, that
+        came with its connection and waited to be accepted: that connection counts as idle since it was made.
         """
         return (self.waits is not None and self.waits < before and not self.halfway and not self.unread
-                and not self.writer.transport.get_write_buffer_size())
+                and not self.writer.transport.get_write_buffer_size() and not self.unread_in_kernel)
 
     def rank(self, now: float) -> tuple[Place, float] | None:
         """Its place among those that make room for a newcomer and since when it is idle; None: it stays.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -12,6 +12,7 @@
 import struct
 import time
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -118,6 +119,7 @@
 BETWEEN_S = 0.25  # from one to the next
 CROWDED_DESCRIPTORS = 128
 CROWD_OF_FEW = 400
+CROWD_AT_THE_END = 700
 PIECE_S = 0.1  # from one piece to the next: longer than a machine delays its acknowledgement
 
 
@@ -191,3 +193,46 @@
                     assert sessions[0].writes
 
     asyncio.run(run())
+
+
+SHORT = [{"name": "poloha", "slo": 300.0, "deadline": 1_200.0, "idempotency": "idempotent"}]
+KILLED_S = 1.2 + 0.7  # after SIGTERM, at the earliest: the longest deadline, and what the page adds to it
+LAST_S = 0.4  # after SIGTERM clients are sent to this process for so long
+LATE_APART_S = 0.02
+
+
+def test_a_process_that_ends_in_a_crowd_answers_newcomers_within_its_descriptors(tmp_path: Path) -> None:
+    """More wait to be accepted than there are descriptors when the listener closes.
+
+    All who waited were accepted at once then, past the limit: 567 of 544 and 798 of 512 on the bench's crowd days.
+    They are taken in as room comes, and the kernel holds the rest.
+    """
+    found: list[Newcomer] = []
+    peak = 0
+
+    async def course(one: Process) -> None:
+        nonlocal peak
+        with crowd(one.listen, CROWD_AT_THE_END, CROWD_S):
+            await asyncio.sleep(GATHER_S)
+            began, told_at, tasks = time.monotonic(), 0.0, []
+            while not told_at or time.monotonic() < told_at + LAST_S:
+                if not told_at and time.monotonic() > began + LAST_S:
+                    one.process.send_signal(signal.SIGTERM)
+                    told_at = time.monotonic()
+                tasks.append(asyncio.create_task(newcomer(one.listen, f"last-{len(tasks)}")))
+                await asyncio.sleep(LATE_APART_S)
+            while time.monotonic() < told_at + KILLED_S and one.process.poll() is None:
+                with suppress(FileNotFoundError):  # it has just ended
+                    peak = max(peak, one.open_descriptors())
+                await asyncio.sleep(0.005)
+            one.process.kill()
+            found.extend(await asyncio.gather(*tasks))
+        log = one.log.read_text(errors="replace")
+        assert "Too many open files" not in log and "not_accepted" not in log
+        print(f"{Counter(n.status for n in found)}, {peak} descriptors at the most")
+
+    ending = Site(tmp_path, 0.01, grades=SHORT)
+    ending.more = {"limits": {"memory_mb": 64, "sockets": CROWDED_DESCRIPTORS}, "descriptors": CROWDED_DESCRIPTORS}
+    in_time(ending.play(course), WITHIN_S)
+    assert [n for n in found if n.status not in (200, 503)] == []
+    assert peak <= CROWDED_DESCRIPTORS
