HTTP front: idle time counts by this process's view, and from the kernel's word only when it is long

Ruled out by a trial: longer limits alone (0.25 and 0.4 s).

A test holds the writers' own process up once: on the code as found five of five end with nothing (a trial; the symptom of the listed slow writers' case).

--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -35,12 +35,15 @@
         self.heard = 0  # bytes that have come
         self.pieces = 0  # in so many segments, or reads from the socket
         self.heard_at = 0.0  # when the last of them had come to this machine; 0: none have come
+        self.made_at = 0.0  # when the connection was accepted
+        self.read_at = 0.0  # when the last bytes were read from the socket; 0: none have come
         self.arrivals = ArrivalLog()
         self._socket: socket.socket | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection is taken in."""
         self._socket = transport.get_extra_info("socket")
+        self.made_at = self.now()
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -50,7 +53,8 @@
         # Guards against a client that goes on writing while it waits to be accepted: all that was read as one
         # piece, and it was taken for one that begins a request and stops.
         self.pieces += 1 if self.pieces else max(1, data_segments(self._socket))
-        self.heard_at = self.now() - age_ms(self._socket, asyncio.get_running_loop())
+        self.read_at = self.now()
+        self.heard_at = self.read_at - age_ms(self._socket, asyncio.get_running_loop())
         self.arrivals.note(len(data), self.heard_at)
         super().data_received(data)
 
@@ -150,8 +154,12 @@
             return None
         if self.writer.transport.get_write_buffer_size() and now - self.waits < tunables.TAKE_S * 1000.0:
             return None  # its answer is still being taken
-        since = max(self.waits, self.protocol.heard_at)  # who still writes goes after who says nothing
-        return (self.place, since) if now - since >= tunables.YIELD_MS[self.place] else None
+        place, protocol = self.place, self.protocol
+        since = max(self.waits, protocol.heard_at)  # who still writes goes after who says nothing
+        seen_at = max(since, protocol.made_at, protocol.read_at)
+        if now - seen_at < tunables.YIELD_MS[place] and now - since < tunables.YIELD_UNHEARD_MS[place]:
+            return None
+        return place, since
 
     @property
     def place(self) -> Place:
--- a/gaphub/net/http/tunables.py
+++ b/gaphub/net/http/tunables.py
@@ -15,7 +15,10 @@
 HAND_OVER_S = 0.1  # from giving new connections to a successor to the last look at the old listener
 # A good client may take 2 s to write a request; one that stops is owed an error or a close within 3 s.
 FRESH_S = 2.5  # from a connection's start to the end of its first good request
-YIELD_MS = (100.0, 250.0, 1000.0)  # waiting so long, a connection makes room: by Place, in session.py
+# A connection makes room when it has been idle for so long before this process, or for so long by the kernel,
+# which counts its time in the accept queue; by Place, in session.py.
+YIELD_MS = (100.0, 250.0, 1000.0)
+YIELD_UNHEARD_MS = (500.0, 750.0, 1000.0)
 YIELD_PER_S = 2_000.0  # connections that make room, at most: a crowd that comes again must not take a whole core
 YIELD_PART = 1 / 2  # of the clients' connections, at one look
 REQUEST_S = 2.5  # from a later request's first byte to its last
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -33,7 +33,7 @@
 from .processes import Process, counters, running
 from .scenario import Cast, free_port
 from .test_shutdown_limits import Site
-from .test_slow_clients import PATIENT, WITHIN_S, write_slowly
+from .test_slow_clients import PATIENT, WITHIN_S, never_finish, write_slowly
 
 DESCRIPTORS = 640
 WORKERS = 8
@@ -48,6 +48,9 @@
 WRITERS = 8
 HELD_S = 0.15  # the pages' hold-up of a process
 BETWEEN_S = 0.25  # from one to the next
+FEW_WRITERS = 5
+HELD_LONG_S = 0.3  # with the 2 s of writing, within the 2.5 s that a first request may take
+TRIES = 60  # of each client of a crowd
 CROWD_AT_THE_END = 700
 PIECE_S = 0.1  # from one piece to the next: longer than a machine delays its acknowledgement
 SHORT = [{"name": "poloha", "slo": 300.0, "deadline": 1_200.0, "idempotency": "idempotent"}]
@@ -172,6 +175,33 @@
     assert all(b" 200 " in each for each in got), got
 
 
+@pytest.mark.parametrize("at_s", [0.85, 0.9, 0.95])
+def test_slow_writers_are_served_in_a_crowd_though_their_own_machine_holds_them_up_once(
+        at_s: float, tmp_path: Path) -> None:
+    """Clients and crowd are one process, which stands for 0.3 s while the writers write; they take 2.3 s in all.
+
+    What happened: all five ended with nothing, as in the case of test_slow_clients.py that was seen once in CI.
+    Why: they waited for about a second to be accepted, what they had written till then was read as one piece, and
+    a client has 0.25 s after its first.  What showed it: on the code as found (a trial) they end so with the
+    hold-up at 0.9 and 0.95 s, one of five at 0.85 s, and none at 0.75 and 0.8 s.
+    """
+    got: list[bytes] = []
+
+    async def course(one: Process) -> None:
+        idle = [asyncio.create_task(never_finish(one.listen, TRIES)) for _ in range(CROWD_OF_FEW)]
+        await asyncio.sleep(GATHER_S / 4)
+        asyncio.get_running_loop().call_later(at_s, time.sleep, HELD_LONG_S)
+        got.extend(await asyncio.gather(*(write_slowly(one.listen, f"r{i}") for i in range(FEW_WRITERS))))
+        for task in idle:
+            task.cancel()
+        await asyncio.wait(idle)
+
+    crowded = Site(tmp_path, 0.01, grades=PATIENT)
+    crowded.more = {"limits": {"memory_mb": 64, "sockets": FEW_DESCRIPTORS}}
+    in_time(crowded.play(course), WITHIN_S)
+    assert all(b" 200 " in each for each in got), got
+
+
 def test_pieces_that_came_before_a_connection_was_accepted_count_each() -> None:
     """Who goes on writing while it waits to be accepted writes no less than one whose pieces are read singly."""
 
