Discovery: an answer without a version or without workers is dropped as garbled

What callers would see: an agent that answers {} or a list without its servers ended every worker at once; all jobs were refused until the next list.

Cause: keys that an answer lacked had defaults, so that such an object read as a whole and empty list. The configuration's 'known' may lack them, and shared the type.

Change: discovery's answer owes version and servers; what lacks one counts as garbled.list, the old list holds and the watch goes on. 'full' may be missing as before (true). The file's list has a type of its own.

Measured: the three new cases fail on the code before (the job gets 503) and pass now; crossings, lists, configuration and scale-run files pass.

--- a/gaphub/config.py
+++ b/gaphub/config.py
@@ -180,12 +180,25 @@
     started_ms: float = 0.0
 
 
-class DestinationList(msgspec.Struct, frozen=True):
-    """What discovery answers: the whole list, or what changed since a version."""
+Entries = Annotated[list[ListedEntry], msgspec.Meta(max_length=MOST_LISTED)]
 
-    version: int = 0
+
+class DestinationList(msgspec.Struct, frozen=True, kw_only=True):
+    """What discovery answers: the whole list, or what changed since a version.
+
+    An object without a version or without workers is none: read as a whole list, it would end all of them.
+    """
+
+    version: int
     full: bool = True
-    servers: Annotated[list[ListedEntry], msgspec.Meta(max_length=MOST_LISTED)] = []
+    servers: Entries
+
+
+class KnownList(DestinationList, frozen=True, kw_only=True):
+    """The list as this scheduler last held it; it may know none yet."""
+
+    version: int = 0
+    servers: Entries = []
 
 
 # --- the scheduler's own file ----------------------------------------------------------------------
@@ -210,7 +223,7 @@
     peers: Annotated[list[str], msgspec.Meta(max_length=MOST_LISTED)] = []
     peers_all: str = ""
     admin: str = ""
-    known: DestinationList = DestinationList()
+    known: KnownList = KnownList()
     settings: dict[str, Any] = {}
 
 
@@ -508,7 +521,7 @@
     peers: tuple[Address, ...]
     peers_all: Address | None
     admin: Address | None  # where operators call; None: nowhere
-    known: DestinationList
+    known: KnownList
     settings: Settings
     class_names: tuple[str, ...]
     zones: tuple[str, ...]
--- a/gaphub/lab/scale/discovery.py
+++ b/gaphub/lab/scale/discovery.py
@@ -65,7 +65,7 @@
         """The whole list, or what has changed since a version."""
         some = range(self.workers) if since is None else sorted(set(self._changes[since - 1:]))
         entries = [self._entry(w) for w in some if since is not None or self.listed[w]]
-        return msgspec.json.encode(DestinationList(self.version, since is None, entries))
+        return msgspec.json.encode(DestinationList(version=self.version, full=since is None, servers=entries))
 
     def _entry(self, worker: int) -> ListedEntry:
         host, port = self.addresses[worker % len(self.addresses)]
--- a/tests/discovery.py
+++ b/tests/discovery.py
@@ -30,7 +30,8 @@
 
 
 GARBLED = [b'{"version":9,"full":true,"serv', b"\x00\xff\xfe[", b"[]", b"", b'{"version":"x"}',
-           b'{"version":9,"full":true,"servers":[{"id":1}]}', b"[" * 20_000]
+           b'{"version":9,"full":true,"servers":[{"id":1}]}', b"[" * 20_000, b"{}", b'{"version":9,"full":true}',
+           b'{"full":true,"servers":[]}']
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
