Probes: a time that passed while this machine could not connect blames no worker

What callers would see: with no ports or buffers on this machine for over 0.2 s, workers were ruled out as silent one after another, and jobs refused once the shortage was over.

Cause: a probe's 0.2 s run on while Connection.connect tries again after a local failure, and their end counted as the worker's silence.

Change: the pool notes when this machine last failed to connect to its worker; a probe that ran out of time since then says nothing. A worker that is silent meanwhile is found by the next probe. The stand-in for connect in test_descriptors takes the new argument.

--- a/gaphub/net/http/connection.py
+++ b/gaphub/net/http/connection.py
@@ -9,7 +9,7 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import h11
@@ -54,12 +54,15 @@
         writer.transport.set_write_buffer_limits(high=0)
 
     @classmethod
-    async def connect(cls, to: Address, within_s: float) -> Connection:
+    async def connect(cls, to: Address, within_s: float,
+                      failed_locally: Callable[[], None] = lambda: None) -> Connection:
         """A new connection; ConnectionLostError if it does not come up in time.
 
         Tries again while this machine itself is what fails, at most for ``LOCAL_MOST_S``, and then raises
         LocalFailureError where the other side had no part in it.  Guards against holding a worker, or discovery,
         to account for a want of descriptors, ports or memory here.
+
+        ``failed_locally`` is called at each failure of this machine.
         """
         loop = asyncio.get_running_loop()
         ends = loop.time() + tunables.LOCAL_MOST_S
@@ -74,6 +77,7 @@
             except OSError as error:
                 if error.errno not in LOCAL_FAILURES:
                     raise ConnectionLostError(str(error)) from None
+                failed_locally()
                 if loop.time() >= ends:
                     kind = LocalFailureError if error.errno in LOCAL_SHORTAGES else ConnectionLostError
                     raise kind(str(error)) from None
--- a/gaphub/net/http/pool.py
+++ b/gaphub/net/http/pool.py
@@ -23,6 +23,7 @@
         self.to = to
         self.owner = owner
         self.idle: list[Connection] = []
+        self.failed_locally_at = -math.inf  # when this machine last failed to make a connection
 
     async def take(self, fresh: bool = False) -> Connection:
         """An idle connection, the one used last, or a new one; ConnectionLostError if there is none.
@@ -42,13 +43,16 @@
             raise LocalFailureError("out of sockets")
         self.owner.sockets -= 1
         try:
-            connection = await Connection.connect(self.to, self.owner.connect_s)
+            connection = await Connection.connect(self.to, self.owner.connect_s, self._note_local_failure)
         except BaseException:
             self.owner.sockets += 1
             raise
         self.owner.counters.add("connections.outbound")
         return connection
 
+    def _note_local_failure(self) -> None:
+        self.failed_locally_at = self.owner.clock.now()
+
     def give_back(self, connection: Connection, now: float) -> None:
         """The one place where a connection comes back: kept if it may be used again."""
         if connection.reusable and self.owner.has(self):
--- a/gaphub/net/http/probe.py
+++ b/gaphub/net/http/probe.py
@@ -56,7 +56,8 @@
                     status = Status.OK if event.status_code == 200 else Status.ERROR
                     report = parse_load(body, self.report_fields)  # type: ignore[assignment]
         except TimeoutError:
-            status = Status.TIMEOUT
+            # Guards against blaming a worker for a time that passed while this machine had no connection for it.
+            status = Status.MOOT if pool.failed_locally_at >= began else Status.TIMEOUT
         except LocalFailureError:
             status = Status.MOOT  # the worker was not asked
         except (ConnectionLostError, NeverWrittenError, h11.LocalProtocolError):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -209,7 +209,7 @@
                 connections.append(await super().take(fresh))
                 return connections[-1]
 
-        async def connect(to: Any, within_s: float) -> Connection:
+        async def connect(to: Any, within_s: float, failed_locally: Any) -> Connection:
             held.append(sum(w.writer.get_extra_info("socket").fileno() >= 0 for w in connections) + 1)
             return await original(to, within_s)
 
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from gaphub.core import Core
 from gaphub.lab.world import Agent, Workers
 from gaphub.net import http
 from gaphub.net.http import tunables
@@ -206,6 +207,24 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("number", [errno.EADDRNOTAVAIL, errno.ENOBUFS])
+def test_a_probe_that_this_machine_cannot_make_in_time_says_nothing_of_the_worker(
+        number: int, fails: list[tuple[str, int]], cores: list[Core]) -> None:
+    """The failures outlast the 0.2 s of a probe: it counted as unanswered, and its worker as silent."""
+    async def run() -> None:
+        async with Cast() as cast:
+            await cast.play(ONE)
+            fails.extend([("connect", number)] * LONG_FAILURE)
+            cores[0].probe(next(iter(cores[0]._destinations)))
+            await cast.play("count probes.moot 1")
+            fails.clear()
+            assert cast.counters.values["probes.timeout"] == 0
+            # A worker that was ruled out would not get the next job.
+            await cast.play(SERVED.removeprefix(ONE))
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("held_up_s", [0.16, 0.4])
 def test_a_connection_that_came_up_while_this_process_was_held_up_costs_no_attempt_and_no_trust(
         held_up_s: float, monkeypatch: pytest.MonkeyPatch) -> None:
