--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -18,7 +18,7 @@
 import socket
 import time
 from collections import Counter
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -32,8 +32,18 @@
 from .fleet import play as in_time
 from .processes import Process, counters, running
 from .scenario import Cast, free_port
+from .test_gearman import FRONTS
 from .test_shutdown_limits import Site
-from .test_slow_clients import PATIENT, WITHIN_S, never_finish, write_slowly
+from .test_slow_clients import (
+    OWED_S,
+    PATIENT,
+    SOCKETS_S,
+    STOPS,
+    WITHIN_S,
+    never_finish,
+    stop_and_stay,
+    write_slowly,
+)
 
 DESCRIPTORS = 640
 WORKERS = 8
@@ -43,6 +53,8 @@
 PATIENCE_S = 5.0
 GATHER_S = 2.0  # for the crowd to come
 CROWD_S = 60.0
+STOPS_EACH = 6  # clients that stop in each of the ways
+GEARMAN_CLIENTS = 600
 FEW_DESCRIPTORS = 128
 CROWD_OF_FEW = 400
 WRITERS = 8
@@ -129,6 +141,32 @@
     assert [n for n in found if n.status != 200 or n.dropped] == []
 
 
+@pytest.mark.parametrize("size", [200, 1_400])
+def test_who_stops_and_stays_in_a_crowd_gets_an_error_or_a_close_within_3_s(size: int, tmp_path: Path) -> None:
+    """However it stops, from its connecting on; the smaller crowd fits into the clients' descriptors."""
+    found: list[tuple[str, float, int]] = []
+
+    async def stop(port: int, where: str, ident: str) -> None:
+        found.append((where, *await stop_and_stay(port, where, ident)))
+
+    async def course(one: Process) -> None:
+        with crowd(one.listen, size, CROWD_S):
+            await asyncio.sleep(GATHER_S)
+            stopping = []
+            for i in range(STOPS_EACH):
+                for n, where in enumerate(STOPS):
+                    stopping.append(asyncio.create_task(stop(one.listen, where, f"{i}-{n}")))
+                await asyncio.sleep(APART_S)
+            await asyncio.gather(*stopping)
+
+    crowded = Site(tmp_path, 0.01, grades=PATIENT)
+    crowded.more = {"limits": {"memory_mb": 64, "sockets": DESCRIPTORS}, "descriptors": DESCRIPTORS}
+    in_time(crowded.play(course), WITHIN_S)
+    print(f"{size} in the crowd: {max(took_s for _, took_s, _ in found):.2f} s at the most")
+    assert len(found) == STOPS_EACH * len(STOPS)
+    assert [each for each in found if each[1] > OWED_S + SOCKETS_S or each[2] != STOPS[each[0]][1]] == []
+
+
 async def hold_up_scheduler(one: Process) -> None:
     """Stop a process and let it go on, again and again."""
     try:
@@ -202,6 +240,22 @@
     assert all(b" 200 " in each for each in got), got
 
 
+def test_many_who_connect_to_the_gearman_front_at_once_wait_in_its_queue() -> None:
+    """While the process stands.  A shorter queue has no room, and a SYN that is dropped comes again after 1 s."""
+    async def run() -> None:
+        async with Cast(fronts=FRONTS, known="") as cast:
+            gearman = cast.config.fronts.gearman_at()
+            assert gearman is not None
+            with ExitStack() as clients:
+                sent_again = []
+                for _ in range(GEARMAN_CLIENTS):  # without a turn of the event loop: nobody accepts
+                    client = clients.enter_context(socket.create_connection(gearman, PATIENCE_S))
+                    sent_again.append(tcp_info(client, TOTAL_RETRANS))
+        assert set(sent_again) == {0}
+
+    asyncio.run(run())
+
+
 def test_pieces_that_came_before_a_connection_was_accepted_count_each() -> None:
     """Who goes on writing while it waits to be accepted writes no less than one whose pieces are read singly."""
 
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -100,21 +100,27 @@
 }
 
 
+async def stop_and_stay(port: int, where: str, ident: str = "good") -> tuple[float, int]:
+    """A client that stops: s from connecting to its error or close, and how many requests were answered before."""
+    data, _ = STOPS[where]
+    began = time.monotonic()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(re.sub(rb"(X-Request-ID: )", rb"\g<1>" + ident.encode() + b"-", data))
+    got = b""
+    with suppress(OSError):
+        while not re.search(rb"HTTP/1\.1 [45]", got) and (more := await reader.read(65536)):
+            got += more
+    took_s = time.monotonic() - began
+    await until_closed(reader)
+    writer.close()
+    return took_s, got.count(b" 200 ")
+
+
 @pytest.mark.parametrize("where", STOPS)
 def test_who_stops_and_stays_gets_an_error_or_a_close_within_3_s(where: str, tmp_path: Path) -> None:
-    data, answers = STOPS[where]
-
     async def course(one: Process) -> None:
-        began = time.monotonic()
-        reader, writer = await asyncio.open_connection("127.0.0.1", one.listen)
-        writer.write(data)
-        got = b""
-        while got.count(b" 200 ") < answers:
-            got += await reader.read(65536)
-        while not re.search(rb"HTTP/1\.1 [45]", got) and (more := await reader.read(65536)):
-            got += more
-        assert time.monotonic() - began <= OWED_S + SOCKETS_S, got
-        await until_closed(reader)
-        writer.close()
+        took_s, answered = await stop_and_stay(one.listen, where)
+        assert answered == STOPS[where][1]
+        assert took_s <= OWED_S + SOCKETS_S
 
     play(site(tmp_path).play(course), WITHIN_S)
--- a/tests/test_starving.py
+++ b/tests/test_starving.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
 
 import pytest
 from hypothesis import HealthCheck, example, given, settings
@@ -11,6 +14,9 @@
 from gaphub.interface import ClassSettings, Effect, Settings
 from gaphub.lab.model import Fleet, Load, Machine, Tally
 
+from . import fleet as processes
+from .test_cold_budget import MEAN_MS, MULTIPLE, SHARES, START, WARM_MS, Server
+
 SHARE = 0.15  # of a class's requests that must be served where a worker had room for half of them and more
 
 
@@ -87,3 +93,97 @@
 def test_in_a_jam_cold_workers_get_about_half_of_what_they_bear(seed: int) -> None:
     _, rush = play([LIGHT, Kind(2.0, 400.0, 4, False, Effect.UNSAFE, 1.0)], 1, 0.5, 12, 2.0, False, seed)
     assert 0.0 < rush <= 0.7
+
+
+# --- real processes -----------------------------------------------------------------------------------
+
+WORKERS = 6
+SLOTS = 2
+WARM_S = 2.0  # before all workers are replaced
+COLD_S = 6.0
+LOAD = 0.5  # of what the warm workers bear
+TURNED_AWAY_MOST_S = 4.0  # all requests, without an attempt at a worker
+WITHIN_S = 40.0
+
+
+@dataclass
+class Heard:
+    """What clients of one scheduler saw: when each answer came, and whether it was a refusal."""
+
+    answers: list[tuple[float, bool]] = field(default_factory=list)
+
+    def longest_without_attempt_s(self, attempts: list[float], until: float) -> float:
+        """The longest time, from a refusal on, with nothing but refusals and no attempt."""
+        signs = sorted([at for at, refused in self.answers if not refused] + attempts) + [until]
+        longest = 0.0
+        for at, refused in self.answers:
+            if refused:
+                longest = max(longest, next(sign for sign in signs if sign >= at) - at)
+        return longest
+
+
+async def ask(to: tuple[str, int], ident: str, cls: str, heard: Heard) -> None:
+    reader, writer = await asyncio.open_connection(*to)
+    writer.write(f"POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Priority-Class: {cls}\r\n"
+                 "X-Timeout: 5000m\r\nContent-Length: 2\r\n\r\nab".encode())
+    line = await reader.readline()
+    heard.answers.append((time.monotonic(), b" 503 " in line))
+    writer.close()
+
+
+@pytest.mark.parametrize("schedulers", [1, 3])
+def test_no_process_turns_away_all_for_4_s_without_trying_a_worker_when_all_are_replaced(schedulers: int) -> None:
+    """Schedulers that do not hear each other, and workers of which all are cold from one moment on."""
+    async def run() -> None:
+        rng = random.Random(5)
+        servers = [Server(rng, SLOTS, 1.0, refuses=True) for _ in range(WORKERS)]
+        workers = [processes.Worker(server) for server in servers]
+        discovery = processes.Discovery()
+        fleet = processes.Fleet(schedulers, discovery, {
+            "limits": {"peerMessages": False},
+            "rules": {"startCapacity": START, "warmAfter": WARM_MS, "fall": 1000.0, "fallMultiple": MULTIPLE},
+            "report": {"fields": ["x0", "inflight", "queue"], "via": "inline"},
+            "familyInfo": {"reportX0": "free slots"},
+        }, lambda a, b: False, 5)
+        heard = [Heard() for _ in range(schedulers)]
+        asked: list[asyncio.Task[None]] = []
+        try:
+            for worker in workers:
+                await worker.open()
+            entries = [processes.entry(f"w{n}", w) for n, w in enumerate(workers)]
+            discovery.entries = entries
+            await discovery.open()
+            await fleet.open()
+            per_s = LOAD * WORKERS * SLOTS / MEAN_MS * 1e3
+            at = began = time.monotonic()
+            replaced = False
+            while at < began + WARM_S + COLD_S:
+                if not replaced and at >= began + WARM_S:
+                    replaced = True
+                    for server in servers:
+                        server.restart()
+                    discovery.tell([{**e, "started_ms": time.time() * 1e3} for e in entries])
+                number = rng.randrange(schedulers)
+                cls = rng.choices(list(SHARES), list(SHARES.values()))[0]
+                asked.append(asyncio.create_task(
+                    ask(fleet.addresses[number], f"s{number}-{len(asked)}", cls, heard[number])))
+                at += rng.expovariate(per_s)
+                await asyncio.sleep(max(0.0, at - time.monotonic()))
+            until = time.monotonic()
+            await asyncio.gather(*asked)
+        finally:
+            for task in asked:
+                task.cancel()
+            fleet.close()
+            discovery.close()
+            for worker in workers:
+                worker.close()
+        for number, each in enumerate(heard):
+            attempts = [a.first for w in workers for a in w.attempts if a.ident.startswith(f"s{number}-")]
+            longest = each.longest_without_attempt_s(attempts, until)
+            refused = sum(was for _, was in each.answers)
+            print(f"scheduler {number}: {len(each.answers)} asked, {refused} refused, for {longest:.2f} s alone")
+            assert len(each.answers) > 20
+            assert longest < TURNED_AWAY_MOST_S
+
+    processes.play(run(), WITHIN_S)
