Core: the destinations that sources name are a module of their own

A move by job: numbers, states, starts and the names ever listed leave core.py (641 -> 583 lines) for destination_table.py, which is pure and gets the time with each call. Tests look there for what they read of the core; no check changes. One difference: a cached list beside another source's does not count as heard from discovery (it did by an accident of order).

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -9,18 +9,16 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import replace
 from functools import partial
 from heapq import heappop, heappush
 
 from .clock import Clock
+from .destination_table import DestinationTable
 from .interface import (
     Effect,
     Group,
-    ListedWorker,
     ListKind,
     Request,
     Settings,
@@ -40,18 +38,15 @@
     ListPort,
     Outcome,
     PeerPort,
-    identity,
 )
 from .metrics import Counters
 from .ops.figures import Figures
 from .ops.legacy import leave, read, take
 from .ops.out import Outs
 from .ops.retune import first, follow, settings_for
-from .start_times import StartTimes
 
 MAILBOX = 4096  # messages; requests past it are refused, everything else waits for room
 COPIES = 2  # attempts of a request that may be out together where the settings allow second copies
-EVER_MOST = 65_536  # ids of destinations that were once listed; the longest unlisted is forgotten
 EARLY_MS = 2.0  # the watchdog answers this long before a deadline that the Balancer let come
 
 
@@ -66,8 +61,7 @@
         self.figures = Figures()
         self.figures.know(self.class_names)
         self.outs = Outs(name)
-        self._starts = StartTimes()
-        self._ever: dict[str, None] = {}  # ids that a source has named, the longest unlisted first
+        self.destinations = DestinationTable(self.outs, self._forget)
         self.clock = clock
         self.counters = counters
         self.ports: dict[str, CallPort] = {}
@@ -81,9 +75,6 @@
         self._call_ends: list[tuple[float, int, Call]] = []  # of calls that end before their request
         self._serial = 0
         self._jobs: dict[int, Job] = {}
-        self._numbers: dict[tuple[str, str], int] = {}
-        self._destinations: dict[int, Destination] = {}
-        self._able: dict[int, int] = {}  # what ``able`` counted, until the destinations change
         self.balancer = Balancer(clock.now(), settings, seed, self)
         counters.sources["occupancy"] = self.balancer.occupancy.figures
 
@@ -107,12 +98,7 @@
 
     def able(self, class_index: int) -> int:
         """How many destinations may get jobs of a class now."""
-        known = self._able.get(class_index)
-        if known is None:
-            known = self._able[class_index] = sum(
-                d.listed.state == WorkerState.READY and bool(d.listed.able >> class_index & 1)
-                for d in self._destinations.values())
-        return known
+        return self.destinations.able(class_index)
 
     def turn_away(self, job: Job, return_ms: float = 1e9) -> Answer:
         """A refusal at the door: the core never takes the job, but it is counted."""
@@ -138,7 +124,7 @@
         self.table, fresh = follow(self.table, settings.classes, names, busy)
         self.settings = settings_for(self.settings, settings, self.table)
         self.figures.know(names)
-        self._able.clear()
+        self.destinations.classes_changed()
         self.balancer.on_settings(self.settings, fresh)
 
     @property
@@ -367,7 +353,7 @@
 
     def _allowed(self, job: Job, worker: int, now: float) -> Destination | None:
         """The rules on attempts, whoever decides: the destination, or None where a call would break one."""
-        destination = self._destinations.get(worker)
+        destination = self.destinations.get(worker)
         if destination is None or destination.listed.state != WorkerState.READY:
             return None
         if not destination.listed.able >> job.class_index & 1:
@@ -432,7 +418,7 @@
         destination = self._allowed(job, worker, now)
         if destination is None:
             self.counters.log("calls.not_allowed", job.ident)
-            call = Call(job, len(job.calls), self._destinations.get(worker) or NOWHERE, now, now)
+            call = Call(job, len(job.calls), self.destinations.get(worker) or NOWHERE, now, now)
             call.status = Status.MOOT
             # It has a number at the Balancer, so it has one here: else the outcomes of later ones are
             # told under the numbers of others.
@@ -497,7 +483,7 @@
 
     def probe(self, worker: int) -> None:
         """Check a destination."""
-        destination = self._destinations.get(worker)
+        destination = self.destinations.get(worker)
         if destination is None:
             self._later.append(lambda: self.balancer.on_probe_result(
                 self.clock.now(), worker, Status.CONNECT_FAILED, 0.0, ()))
@@ -515,7 +501,7 @@
 
     def close_idle(self, worker: int) -> None:
         """Close idle connections to a destination."""
-        if destination := self._destinations.get(worker):
+        if destination := self.destinations.get(worker):
             self.ports[destination.source].close_idle(destination)
 
     def tell(self, peer: int, data: bytes) -> None:
@@ -541,78 +527,34 @@
 
     def listed(self, source: str, kind: int, entries: Sequence[Listed]) -> None:
         """A source named destinations; FULL and CACHED name all of that source's."""
-        self._able.clear()
-        self._starts.saw_clock(self.clock.stepped_ms())
-        entries = list({e.name: e for e in entries}.values())  # named twice: the last word counts
-        named = {e.name for e in entries}
-        changes = list(entries)
-        if kind in (ListKind.FULL, ListKind.CACHED):
-            known = {name for s, name in self._numbers if s == source}
-            changes += [Listed(n, "", WorkerState.GONE) for n in sorted(known - named)]
-        for name in named:
-            self._ever.pop(name, None)
-            self._ever[name] = None
-        while len(self._ever) > max(EVER_MOST, len(self._destinations)):
-            del self._ever[next(iter(self._ever))]
-        told = [self._follow(source, e) for e in changes
-                if e.state != WorkerState.GONE or (source, e.name) in self._numbers]
-        if kind in (ListKind.FULL, ListKind.CACHED) and any(s != source for s, _ in self._numbers):
-            kind = ListKind.CHANGES  # the Balancer must not drop what other sources named
-        if kind != ListKind.CHANGES:
-            told = [t for t in told if t.state != WorkerState.GONE]
+        now = self.clock.now()
+        self.destinations.saw_clock(self.clock.stepped_ms())
+        told_kind, told = self.destinations.take(now, source, kind, entries)
         self.counters.add("lists.taken")
         if kind != ListKind.CACHED:
             self.heard_discovery()
-        self.balancer.on_workers(self.clock.now(), kind, told)
+        self.balancer.on_workers(now, told_kind, told)
 
     def heard_discovery(self) -> None:
         """Discovery answered, with news or without."""
-        self._starts.heard(self.clock.now())
-
-    def _follow(self, source: str, entry: Listed) -> ListedWorker:
-        key = (source, entry.name)
-        number = self._numbers.get(key)
-        if number is None:
-            # Guards against gateways that number workers by the order of their lists: the Balancer draws
-            # by these numbers, and a key has one home only if every gateway draws alike.
-            number = zlib.crc32(f"{source}/{entry.name}".encode()) or 1
-            while number in self._destinations:
-                number += 1
-            self._numbers[key] = number
-        known = self._destinations.get(number)
-        if known is None:
-            known = Destination(number, source, entry, identity=identity(source, entry.name))
-            self._destinations[number] = known
-        elif entry.state == WorkerState.GONE or (entry.addr, entry.started_ms) != (
-                known.listed.addr, known.listed.started_ms):
-            self.ports[source].forget(known)
-        if entry.state == WorkerState.GONE:
-            known.listed.state = WorkerState.GONE
-            del self._numbers[key], self._destinations[number]
-        else:
-            known.said = entry.state
-            if entry.state == WorkerState.READY and self.outs.holds(entry.name):
-                entry = replace(entry, state=WorkerState.DRAINING)
-            known.listed = entry
-        started_at = self._starts.on_own_clock(f"{source}/{entry.name}", entry.started_ms, self.clock.now())
-        return ListedWorker(entry.state, entry.kind, entry.cell, entry.weight, entry.zone, number,
-                            started_at, entry.able, known.identity)
+        self.destinations.heard_source(self.clock.now())
+
+    def _forget(self, destination: Destination) -> None:
+        self.ports[destination.source].forget(destination)
 
     def ever_listed(self, name: str) -> bool:
         """Whether a source has named a destination, now or before."""
-        return name in self._ever
+        return self.destinations.ever_listed(name)
 
     def moved_by_hand(self, names: Iterable[str]) -> None:
         """Destinations went out by hand or came back: those that are listed drain, or are as listed."""
-        wanted = set(names)
-        told = [self._follow(d.source, replace(d.listed, state=d.said))
-                for d in list(self._destinations.values()) if d.listed.name in wanted]
-        self._able.clear()
-        self.balancer.on_workers(self.clock.now(), ListKind.CHANGES, told)
+        now = self.clock.now()
+        told = self.destinations.moved_by_hand(now, names)
+        self.balancer.on_workers(now, ListKind.CHANGES, told)
 
     def legacy(self) -> bytes:
         """What a successor may go on from."""
-        names = {d.number: d.listed.name for d in self._destinations.values()}
+        names = {d.number: d.listed.name for d in self.destinations.by_number.values()}
         return leave(self.balancer, self.outs.scheduler, self.clock.now(), dict(self.table.live), names,
                      self.clock.base)
 
@@ -620,7 +562,7 @@
         """Go on from what a process of this scheduler left; False if there is nothing to believe."""
         page = read(data, self.outs.scheduler, self.clock.now(), self.clock.base)
         if page is not None:
-            numbers = {d.listed.name: d.number for d in self._destinations.values()}
+            numbers = {d.listed.name: d.number for d in self.destinations.by_number.values()}
             take(self.balancer, page, dict(self.table.live), numbers)
         return page is not None
 
@@ -629,8 +571,8 @@
         now = self.clock.now()
         known = self.balancer.fleet.workers
         avoided = sum(self.outs.holds(d.listed.name) or (d.number in known and known[d.number].struck_until > now)
-                      for d in self._destinations.values())
-        return len(self._destinations), avoided
+                      for d in self.destinations.by_number.values())
+        return len(self.destinations.by_number), avoided
 
     def list_failed(self) -> None:
         """A call to discovery failed."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -173,7 +173,7 @@
     w.job(0)
     await asyncio.sleep(0.01)
     job = w.port.calls[0].job
-    others = [n for n in w.core._destinations if n != w.port.calls[0].destination.number]
+    others = [n for n in w.core.destinations.by_number if n != w.port.calls[0].destination.number]
     for n in others[:3]:
         await w.core.post(lambda n=n: w.core.send(job.number, n, 0.0))  # type: ignore[misc]
     await asyncio.sleep(0.01)
@@ -203,7 +203,7 @@
         w.core.listed("test", ListKind.FULL, [
             Listed("a", "", 1, zone=0, cell=1), Listed("b", "", 1, zone=0, cell=2),
             Listed("c", "", 1, zone=1, cell=1)])
-        numbers = {d.listed.name: n for n, d in w.core._destinations.items()}
+        numbers = {d.listed.name: n for n, d in w.core.destinations.by_number.items()}
         patch.setattr(Balancer, "on_request", lambda b, now, r: b.act.send(r.id, numbers["a"], 0.0))
         patch.setattr(Balancer, "on_outcome", lambda *more: None)
         for late in (False, True):
@@ -227,7 +227,7 @@
     w.job(1)
     await asyncio.sleep(0.01)
     job = w.port.calls[0].job
-    other = next(n for n in w.core._destinations if n != w.port.calls[0].destination.number)
+    other = next(n for n in w.core.destinations.by_number if n != w.port.calls[0].destination.number)
     w.core.send(job.number, other, 0.0)
     assert len(w.port.calls) == 1  # one is out
     w.port.calls[0].status, job.open_calls = Status.TIMEOUT, 0
@@ -253,10 +253,10 @@
     w.core.ports["other"] = w.port
     w.core.listed("other", ListKind.FULL, [Listed("x1", "", WorkerState.READY)])
     w.core.listed("test", ListKind.FULL, [Listed("w9", "", WorkerState.READY)])
-    assert {d.listed.name for d in w.core._destinations.values()} == {"x1", "w9"}
+    assert {d.listed.name for d in w.core.destinations.by_number.values()} == {"x1", "w9"}
     assert len(w.core.balancer.fleet.ready) == 2
     w.core.listed("other", ListKind.FULL, [])
-    assert {d.listed.name for d in w.core._destinations.values()} == {"w9"}
+    assert {d.listed.name for d in w.core.destinations.by_number.values()} == {"w9"}
     assert len(w.core.balancer.fleet.ready) == 1
 
 
@@ -265,13 +265,13 @@
     cores = [World().core for _ in range(2)]
     for core, names in zip(cores, (["a", "b", "c"], ["c", "x", "b", "a"]), strict=True):
         core.listed("test", ListKind.FULL, [Listed(n, "", WorkerState.READY) for n in names])
-    one, two = ({d.listed.name: n for n, d in c._destinations.items()} for c in cores)
+    one, two = ({d.listed.name: n for n, d in c.destinations.by_number.items()} for c in cores)
     assert {n: two[n] for n in one} == one and len(set(two.values())) == 4
 
 
 @core_test
 async def test_a_call_that_ends_before_its_request_times_out(w: World, patch: Any) -> None:
-    first = next(iter(w.core._destinations))
+    first = next(iter(w.core.destinations.by_number))
     patch.setattr(Balancer, "on_request", lambda b, now, r: b.act.send(r.id, first, 30.0))
     w.job(1)
     await asyncio.sleep(0.1)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -619,7 +619,7 @@
             async with asyncio.timeout(5.0):
                 while not any(pool.idle for pool in port.pools.values()):
                     await asyncio.sleep(0.001)
-            cores[0].probe(next(iter(cores[0]._destinations)))
+            cores[0].probe(next(iter(cores[0].destinations.by_number)))
             await cast.play(PROBES[name])
 
     asyncio.run(run())
@@ -639,7 +639,7 @@
                 wire = next(w for pool in port.pools.values() for w in pool.idle)
                 while not wire.reader._buffer:  # type: ignore[attr-defined]
                     await asyncio.sleep(0.001)
-            cores[0].probe(next(iter(cores[0]._destinations)))
+            cores[0].probe(next(iter(cores[0].destinations.by_number)))
             await cast.play("""
                 w next
                 w expect GET /-/load
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -76,11 +76,11 @@
     core.ports = {"discovery": Port()}
     for kind, entries in told:
         core.listed("discovery", kind, entries)
-        ready = {n for n, d in core._destinations.items() if d.listed.state == WorkerState.READY}
+        ready = {n for n, d in core.destinations.by_number.items() if d.listed.state == WorkerState.READY}
         assert set(core.balancer.fleet.ready) == ready
-        assert set(core.balancer.fleet.workers) == set(core._destinations)
+        assert set(core.balancer.fleet.workers) == set(core.destinations.by_number)
         last = {e.name: e.state for e in entries}
-        names = {d.listed.name for d in core._destinations.values()}
+        names = {d.listed.name for d in core.destinations.by_number.values()}
         assert {name for name, state in last.items() if state != WorkerState.GONE} <= names
         assert not {name for name, state in last.items() if state == WorkerState.GONE} & names
 
@@ -92,4 +92,4 @@
     core.listed("discovery", ListKind.FULL, many)
     assert len(core.balancer.fleet.ready) == 5000
     core.listed("discovery", ListKind.FULL, [])
-    assert not core.balancer.fleet.workers and not core._destinations and not core._numbers
+    assert not core.balancer.fleet.workers and not core.destinations.by_number and not core.destinations._numbers
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -215,7 +215,7 @@
         async with Cast() as cast:
             await cast.play(ONE)
             fails.extend([("connect", number)] * LONG_FAILURE)
-            cores[0].probe(next(iter(cores[0]._destinations)))
+            cores[0].probe(next(iter(cores[0].destinations.by_number)))
             await cast.play("count probes.moot 1")
             fails.clear()
             assert cast.counters.values["probes.timeout"] == 0
