--- a/gaphub/net/http/__init__.py
+++ b/gaphub/net/http/__init__.py
@@ -7,7 +7,8 @@
 Clients' side: ``inbound`` (listening, accepting, leaving), ``session`` (a connection's state), ``handler``
 (requests and answers), ``request`` (what a request must be), ``room`` (who makes room for newcomers), ``drain``
 (the times after SIGTERM).
-Workers' side: ``outbound`` (calls), ``probe``, ``answer`` (what a worker's answer says), ``pool``, ``connection``.
+Workers' side: ``outbound`` (calls), ``exchange`` (one attempt on the wire), ``probe``, ``answer`` (what a worker's
+answer says), ``pool``, ``connection``.
 Both read their times, sizes and shares in ``tunables``.
 """
 
@@ -20,9 +21,10 @@
 from .answer import Line, parse_load
 from .connection import Connection, ConnectionLostError, EarlyAnswerError, NeverWrittenError
 from .drain import Drain
+from .exchange import StoppedError
 from .handler import RequestHandler
 from .inbound import Inbound
-from .outbound import Outbound, StoppedError
+from .outbound import Outbound
 from .pool import Pool, Pools
 from .request import BadRequestError, check_head, parse_job, parse_key, passed_on
 from .session import ClientSession, SessionProtocol
