--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -14,11 +14,10 @@
 from functools import partial
 from heapq import heappop, heappush
 
+from .attempt_rules import may_repeat, may_run_at
 from .clock import Clock
 from .destination_table import DestinationTable
 from .interface import (
-    Effect,
-    Group,
     ListKind,
     Request,
     Settings,
@@ -44,6 +43,7 @@
 from .ops.legacy import leave, read, take
 from .ops.out import Outs
 from .ops.retune import first, follow, settings_for
+from .request_log import describe
 
 MAILBOX = 4096  # messages; requests past it are refused, everything else waits for room
 COPIES = 2  # attempts of a request that may be out together where the settings allow second copies
@@ -225,7 +225,7 @@
         if not job.answered:
             self.counters.add("requests.fenced")
             return_ms = job.fence.return_ms if job.fence is not None else 0.0
-            self._answer(job, self.refusal(return_ms) if self._harmless(job) else Answer(Ending.FAILED))
+            self._answer(job, self.refusal(return_ms) if may_repeat(self.settings, job) else Answer(Ending.FAILED))
             self._drop(job)
 
     def fence_lost(self) -> None:
@@ -253,7 +253,7 @@
 
     def _give_up(self, job: Job) -> None:
         """The core's own final answer, where the Balancer gave none."""
-        self._answer(job, self.refusal() if self._harmless(job) else Answer(Ending.FAILED))
+        self._answer(job, self.refusal() if may_repeat(self.settings, job) else Answer(Ending.FAILED))
         self._drop(job)
 
     def _answer(self, job: Job, answer: Answer) -> None:
@@ -273,30 +273,7 @@
         if job.answered and not job.open_calls and job.number in self._jobs:
             del self._jobs[job.number]
             if self.trace is not None:
-                self.trace(self._story(job))
-
-    def _story(self, job: Job) -> str:
-        """One request from its taking, at Unix time ``at``, to its last outcome; other times in ms since then."""
-
-        def since(moment: float) -> str:
-            return f"{moment - job.received_at:.0f}" if moment else "-"
-
-        calls = " ".join(
-            f"call={c.destination.listed.name},{c.status.name.lower() if c.status else 'open'},"
-            f"{c.sent_at - job.received_at:.0f}+{c.took_ms:.0f},"
-            f"{max(0.0, c.sent_at - c.destination.listed.started_ms):.0f},"
-            f"{c.destination.listed.kind},{since(c.started_at)},{since(c.begun_at)}" for c in job.calls)
-        left = job.left() if job.left is not None and not job.answered_ms else 0.0
-        calls = f"gone={since(left)} {calls}" if left else calls
-        key = f"key={job.key:x} " if job.key else ""
-        return (f"id={job.ident} at={job.received_at:.0f} class={job.class_index} {key}slots={job.slots:g} "
-                f"left={job.left_ms:.0f} end={job.ending} after={job.answered_ms:.0f} {calls}").rstrip()
-
-    def _harmless(self, job: Job) -> bool:
-        """Whether trying the request again would do no harm."""
-        if self.settings.classes[job.class_index].effect == Effect.SAFE:
-            return True
-        return all(c.never_ran for c in job.calls)
+                self.trace(describe(job))
 
     # -- calls --
 
@@ -362,25 +339,12 @@
             return None
         if job.open_calls >= (COPIES if self.settings.second_copies else 1) or len(job.calls) >= job.most_calls:
             return None
-        return destination if self._harmless_at(job, destination, now) else None
+        return destination if may_run_at(self.settings, job, destination, now) else None
 
     @staticmethod
     def _left(job: Job) -> bool:
         return job.left is not None and job.left() > 0.0
 
-    def _harmless_at(self, job: Job, destination: Destination, now: float, but: Call | None = None) -> bool:
-        """Whether the job may run at a destination, by what its calls so far, all but one, may have run."""
-        cls = self.settings.classes[job.class_index]
-        before = [] if cls.effect == Effect.SAFE else [c for c in job.calls if c is not but and not c.never_ran]
-        if not before or cls.effect == Effect.UNSAFE:
-            return not before
-        at, first = destination.listed, min(c.sent_at for c in before)
-        others = [c.to or c.destination.listed for c in before]
-        same = (cls.group == Group.ALL
-                or cls.group == Group.ZONE and all(o.zone == at.zone for o in others)
-                or cls.group == Group.CELL and all(o.cell == at.cell for o in others))
-        return same and now - first < cls.window_ms
-
     def may_go_on(self, call: Call) -> Status | None:
         """Asked by a port before the first byte of a call: None if it may be written, else why not.
 
@@ -398,8 +362,8 @@
         if not self.may_write(call.job):
             self.counters.add("calls.fenced")
             return Status.MOOT
-        if call.job.answered or self._left(call.job) or not self._harmless_at(
-                call.job, call.destination, self.clock.now(), call):
+        if call.job.answered or self._left(call.job) or not may_run_at(
+                self.settings, call.job, call.destination, self.clock.now(), call):
             self.counters.add("calls.pointless")
             return Status.MOOT
         return None
@@ -448,7 +412,7 @@
         """Final answer: refused.  A refusal that would be untrue is sent as a failure."""
         job = self._jobs.get(request)
         if job is not None:
-            ending = Ending.REFUSED if self._harmless(job) else Ending.FAILED
+            ending = Ending.REFUSED if may_repeat(self.settings, job) else Ending.FAILED
             job.why = f":{self.balancer.why}"
             self.counters.add("given_up.tried" if job.calls else "given_up.untried")
             if job.fence is not None and not job.fence.holds():
