--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -4,7 +4,7 @@
 tunables, the worker list, fairness, looking and picking, attempts, health, outcomes and timers.  Its
 state stands in modules of its own: ``profiles`` (response times and shares), ``workers`` (what is
 known of each), ``attempts`` (a request and its attempts), ``cold_start`` (allowances at workers in
-slow start).
+slow start), ``quota`` (of tenants), ``zone_reach`` (zones that are cut off).
 """
 
 from __future__ import annotations
@@ -31,7 +31,9 @@
 from .occupancy.choice import exchange_for
 from .occupancy.exchange import NoExchange, Outgoing
 from .profiles import MEAN_STEP, JobType, KeyType
+from .quota import TenantQuotas
 from .workers import Fleet, Reports, Worker
+from .zone_reach import ZoneReach
 
 # --- tunables ---------------------------------------------------------------------------------
 
@@ -69,17 +71,12 @@
 WAITING_COPIES = 3  # copies that may wait at once: each takes a place in somebody's queue
 WAIT_OK = 0.5  # share of the fixed part of the aim; a reported wait up to this is short
 RATE_MS = 8_000.0  # ms; over which this gateway measures what it gets served
-CUT_STEP = 0.25  # share; how fast the view of a zone's connections moves with each attempt
-CUT = 0.5  # share of attempts without a connection above which a zone is left alone
-CUT_TRIAL = 0.03  # share of jobs that look at such a zone all the same
 LOCAL_STEP = 0.08  # share; how fast the view of how busy the own zone is moves
 LOCAL_BUSY = 0.85  # share of own-zone jobs that had to wait, above which all zones are looked at first
 AIM_SLIP = 0.1  # share of the aim; hints are not exact, so hope ends this much later
 RUN_STEP = 0.05  # share; how fast the view of a kind's running times moves with each served job
 RUN_SURE = 0.85  # share of the usual running time that a job is sure to take: less hope than that is none
 DEAD_TIMES = 3.0  # typical run times; a retry older than the aim of such a job is past use
-QUOTA_BURST_S = 1.0  # s; what a tenant may save up of its quota
-QUOTA_BURST = 4.0  # requests; the least it may save up: a gateway's part may be a request in seconds
 STRAIN_REPORT = 0.03  # share; how fast the view of the fleet's strain moves with each report
 STRAIN_START = 0.12  # share; and with each own job's start, of which there are fewer
 STRAIN_LATE = 0.5  # share of the fixed part of an aim; a start later than this is a sign of strain
@@ -89,7 +86,6 @@
 SHED_WAIT_VALUE = 1.0  # more of it for the most valuable work
 RETURN_MS = 300.0  # ms; when a refused client is told to return: soon enough to be in time yet
 SHED_WIDTH = 0.3  # strain from the first shed request of a value to all of them
-SEEN_FADE = 0.995  # a report; how fast the view of this gateway's part of all traffic fades
 KEYS_MAX = 1_024  # keys that are types of their own at once; the longest unused is forgotten
 WATCH_SPREAD = 0.6  # share of the ask interval over which gateways spread their first call
 RETRY_LIST_MS = 700.0  # ms; the first wait after a failed call for the list; doubles, jittered
@@ -128,13 +124,11 @@
         self.run = [1.0] * settings.kinds  # running time per hinted ms, by kind of worker
         self.start_ms = [START_MS, START_MS + 2 * settings.connect_timeout_ms / 5]  # own zone, others
         self.local_busy = 0.0
-        self.cut = [0.0] * settings.zones  # the share of attempts to a zone that get no connection
+        self.reach = ZoneReach(settings.zones)
         self.full = 0.0  # the share of attempts that are turned away as full
         self.strain = 0.0  # the share of own jobs that start late, else of reports without a free slot
         self.longest = [0.0] * len(settings.classes)  # the longest wait that a client has had left
-        self.quota = [QUOTA_BURST] * len(settings.tenants)
-        self.quota_at = [now] * len(settings.tenants)
-        self.own_seen = self.all_seen = 0.0
+        self.quotas = TenantQuotas(now, len(settings.tenants))
         self.watching = False
         self.list_wait = RETRY_LIST_MS
         self.lines = LOG_LINES
@@ -176,7 +170,7 @@
             self._tell(())
             for e in entries:
                 if e.state == WorkerState.READY and now - e.ready_at_ms < self.set.cold_ms:
-                    self.cut[e.zone] = 0.0  # a zone that comes back is used at once, not by rare trials
+                    self.reach.comes_back(e.zone)
             self.warm = sum(w.ready_at <= 0.0 for w in self.fleet.ready.values())
             for t in self._types():
                 t.stale = True
@@ -219,19 +213,6 @@
         self.key_types[key] = found  # the longest unused comes first
         return base, found
 
-    def _within_share(self, now: float, tenant: int) -> bool:
-        """Whether this request is within this gateway's part of its tenant's quota, by what reports show."""
-        if tenant >= len(self.quota):
-            return True
-        part = (self.own_seen + 1.0) / (self.all_seen + self.set.balancers)
-        rate = self.set.tenants[tenant].quota_per_s * part
-        have = self.quota[tenant] + rate * (now - self.quota_at[tenant]) / 1000.0
-        have = min(have, QUOTA_BURST + rate * QUOTA_BURST_S)
-        self.quota_at[tenant] = now
-        within = have >= 1.0
-        self.quota[tenant] = have - 1.0 if within else have
-        return within
-
     def on_request(self, now: float, request: Request) -> None:
         """Take a request: send it, or turn it away where that is worth more."""
         if request.id in self.jobs:
@@ -242,7 +223,7 @@
         self.jobs[job.id] = job
         first = self.longest[c] = max(self.longest[c], request.left_ms)
         begun = now - (first - request.left_ms)  # a later try has less time left than a first one
-        job.over_share = not self._within_share(now, request.tenant)
+        job.over_share = not self.quotas.admits(now, request.tenant, self.set.tenants, self.set.balancers)
         typical = exp(job.type.mean)
         if job.hint > 0:
             work = job.hint * typical
@@ -271,7 +252,7 @@
 
     def _look(self, job: Job, now: float) -> bool:
         """Draw a few workers in proportion to their shares; where counts do not tell, probe them first."""
-        near = self.set.zones > 1 and self.cut[self.set.zone] <= CUT and self.local_busy < LOCAL_BUSY
+        near = self._own_zone_reached and self.local_busy < LOCAL_BUSY
         pool = self.fleet.pool((self.set.zone,) if near and not job.rounds else (), job.cls.kind, job.index)
         usable = [w for w in pool if w not in job.looked and self._usable(w, job, now) == 2]
         fresh = self._draw(job, usable, LOOKS, now)
@@ -336,6 +317,10 @@
 
     # -- picking --
 
+    @property
+    def _own_zone_reached(self) -> bool:
+        return self.set.zones > 1 and not self.reach.is_cut_off(self.set.zone)
+
     def _usable(self, w: Worker, job: Job, now: float) -> int:
         """0: must not be used; 1: health speaks against it; 2: may be used."""
         if w.ready_at > 0.0 and not self._cold_allows(w, job, now):
@@ -505,7 +490,7 @@
         """Own zone first, all zones when nothing there is available or it is known to be busy."""
         kind = job.cls.kind
         group = job.ran_group
-        zones = self._zones()
+        zones = self.reach.zones(self.rng.random)
         everywhere = self.fleet.pool(zones, kind, job.index)
         if job.looked and not job.attempts:
             answered = [w for w in job.looked if w.state == WorkerState.READY
@@ -520,7 +505,7 @@
             return self._rank(job, now, everywhere)
         k = job.key_type
         # A key seldom asked for has one home in all zones: with one in each, each zone would fetch it.
-        near = self.set.zones > 1 and self.cut[self.set.zone] <= CUT and (
+        near = self._own_zone_reached and (
             k is None or any(k.has_met(wid, now) for wid in k.met))
         if near and self.local_busy < LOCAL_BUSY and len(job.attempts) < 2:
             local, tier = self._rank(job, now, self.fleet.pool((self.set.zone,), kind, job.index))
@@ -530,15 +515,6 @@
             return (other, other_tier) if other_tier < tier else (local, tier)
         return self._rank(job, now, everywhere)
 
-    def _zones(self) -> tuple[int, ...]:
-        """The zones to look at; () for all.  A few jobs try one that is cut off, to see its return."""
-        if max(self.cut) <= CUT or self.rng.random() < CUT_TRIAL:
-            return ()
-        return tuple(z for z, c in enumerate(self.cut) if c <= CUT)
-
-    def _saw_zone(self, w: Worker, failed: bool) -> None:
-        self.cut[w.zone] += (failed - self.cut[w.zone]) * CUT_STEP
-
     # -- attempts --
 
     def _may_send(self, job: Job, now: float) -> bool:
@@ -804,7 +780,7 @@
     def _well(self, w: Worker, now: float) -> None:
         w.heard_at = now
         w.resets = 0
-        self._saw_zone(w, False)
+        self.reach.saw(w.zone, failed=False)
         if w.strikes and (w.errors < ERRORS_ILL or now - w.erred.get(-1, -1e18) >= ERRORS_MS):
             w.strikes = 0
             w.trial = False
@@ -875,7 +851,7 @@
             if w.errors >= ERRORS_ILL:
                 self._strike(w, now, "errors", ERRORS_BAR)
         elif status == Status.CONNECT_FAILED:
-            self._saw_zone(w, True)
+            self.reach.saw(w.zone, failed=True)
             self._strike(w, now, "no connection")
         elif status == Status.RESET and not a.cancelled:
             w.resets += 1
@@ -913,8 +889,7 @@
         if r.useful and fresh and not self.looks and not self.set.tells_start:
             self.strain += ((report[r.slots] < 1.0) - self.strain) * STRAIN_REPORT
         if r.inflight >= 0:
-            self.own_seen = self.own_seen * SEEN_FADE + min(w.out, report[r.inflight])
-            self.all_seen = self.all_seen * SEEN_FADE + report[r.inflight]
+            self.quotas.saw_report(w.out, report[r.inflight])
 
     def _over(self, job: Job) -> None:
         job.over = True
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -54,10 +54,12 @@
 def test_the_module_has_no_clock_io_threads_or_globals() -> None:
     # What schedulers tell each other is kept in modules of their own, which are held to the same.
     allowed = {"logic.py": {"random", "heapq", "math", ".", ".attempts", ".interface", ".occupancy.choice",
-                            ".occupancy.exchange", ".profiles", ".workers"},
+                            ".occupancy.exchange", ".profiles", ".quota", ".workers", ".zone_reach"},
                "attempts.py": {".interface", ".profiles", ".workers"},
                "cold_start.py": {"dataclasses", "math"},
                "profiles.py": {"math", "typing"},
+               "quota.py": {".interface"},
+               "zone_reach.py": set(),
                "workers.py": {".cold_start", ".interface"}}
     pure = {"collections", "dataclasses", "enum", "hashlib", "itertools", "math", "struct", "typing", "zlib"}
     stems = [path.stem for path in (ROOT / "gaphub/occupancy").glob("*.py")]
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -311,9 +311,9 @@
 def test_a_zone_whose_workers_have_just_started_is_used_at_once(age: float, used: bool) -> None:
     world = World(entries=[entry(1), entry(2, zone=1)], zones=2)
     world.now = 100_000.0
-    world.b.cut[1] = 0.99
+    world.b.reach.failing[1] = 0.99
     world.b.on_workers(world.now, ListKind.CHANGES, [entry(2, zone=1, ready_at=world.now - age)])
-    assert all(world.b._zones() == () for _ in range(20)) is used
+    assert all(world.b.reach.zones(world.b.rng.random) == () for _ in range(20)) is used
 
 
 def test_log_lines_are_bounded() -> None:
@@ -418,6 +418,6 @@
                 world.outcome(r, i, Status.CONNECT_FAILED if far else Status.OK, 250.0)
                 if not far:
                     break
-    assert world.b.cut[0] > 0.5
+    assert world.b.reach.failing[0] > 0.5
     sends = [world.b.fleet.workers[world.worker_of(world.request())].zone for _ in range(30)]
     assert sum(z == 0 for z in sends) <= 3
