Tests: the burst at the operators' address comes once the list is told

Cause, the test's own: it sent its call before discovery had told the list, and a process that has not heard from discovery is not ready.

Change: the list is told before the burst.

--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -85,17 +85,21 @@
 
 
 def test_a_call_among_many_callers_that_say_nothing_is_answered() -> None:
-    """The call is the first of a burst that fills the queue before any is accepted; it was ended unread."""
+    """The call is the first of a burst that fills the queue before any is accepted; it was ended unread.
+
+    The list is told before the burst: else a process that has not heard from discovery may rightly say that it is
+    not ready.
+    """
 
     async def play() -> None:
         async with Cast(admin=f"127.0.0.1:{free_port()}", limits={"sockets": 256}) as cast:
             assert cast.config.admin is not None
+            await cast.play(TOLD)
             with ExitStack() as stack:
                 caller = stack.enter_context(socket.create_connection(cast.config.admin))
                 caller.sendall(b"GET /ops/readiness HTTP/1.1\r\nHost: o\r\n\r\n")
                 for _ in range(BURST):
                     stack.enter_context(socket.create_connection(cast.config.admin))
-                await cast.play(TOLD)
                 caller.setblocking(False)
                 async with asyncio.timeout(WITHIN_S):
                     assert b" 200 " in await asyncio.get_running_loop().sock_recv(caller, 4096)
