--- a/tests/test_deadline_told.py
+++ b/tests/test_deadline_told.py
@@ -177,7 +177,7 @@
         elif name == "a retry":
             conversation.say("503 Service Unavailable", b"", "X-Not-Processed: 1")
 
-    # Copies where the case is about one: a process that is held up may send one, and its case has one attempt more.
+    # Copies where the case is about one: a process that is held up may send one, and count one attempt more.
     settings = {"limits": {**SETTINGS["limits"], "secondCopies": name == "a second copy", "cancel": True},
                 "report": {"fields": [], "via": "off"}}
 
