--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -39,6 +39,19 @@
     return f"send HTTP/1.1 200 OK\\r\\nContent-Length: {len(body)}\\r\\n\\r\\n{body}"
 
 
+def no_list(body: str) -> str:
+    """A course in which discovery says this, which is no list, and the old one holds."""
+    return f"""
+        d {whole(body)}
+        d expect index=41
+        count garbled.list 1
+        c send job poloha r1
+        w expect r1
+        w send lines r1 done=ok .
+        c expect 200
+    """
+
+
 # --- a client leaves ---------------------------------------------------------------------------------
 
 LEAVES = {
@@ -855,33 +868,9 @@
         x send lines r1 done=ok .
         c expect 200
     """,
-    "an object without a version and workers is dropped, and the old list holds": f"""
-        d {whole('{}')}
-        d expect index=41
-        count garbled.list 1
-        c send job poloha r1
-        w expect r1
-        w send lines r1 done=ok .
-        c expect 200
-    """,
-    "a list without workers is dropped, and the old list holds": f"""
-        d {whole('{"version":42,"full":true}')}
-        d expect index=41
-        count garbled.list 1
-        c send job poloha r1
-        w expect r1
-        w send lines r1 done=ok .
-        c expect 200
-    """,
-    "a list without a version is dropped, and the old list holds": f"""
-        d {whole('{"full":true,"servers":[]}')}
-        d expect index=41
-        count garbled.list 1
-        c send job poloha r1
-        w expect r1
-        w send lines r1 done=ok .
-        c expect 200
-    """,
+    "an object without a version and workers is dropped, and the old list holds": no_list("{}"),
+    "a list without workers is dropped, and the old list holds": no_list('{"version":42,"full":true}'),
+    "a list without a version is dropped, and the old list holds": no_list('{"full":true,"servers":[]}'),
     "an entry that cannot be called is left out, and the others count": f"""
         d {whole('{"version":42,"servers":[{"id":"s-y","addr":"127.0.0.1:99999","state":"active"}]}')}
         d expect index=42
