--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -505,8 +505,7 @@
             return self._rank(job, now, everywhere)
         k = job.key_type
         # A key seldom asked for has one home in all zones: with one in each, each zone would fetch it.
-        near = self._own_zone_reached and (
-            k is None or any(k.has_met(wid, now) for wid in k.met))
+        near = self._own_zone_reached and (k is None or any(k.has_met(wid, now) for wid in k.met))
         if near and self.local_busy < LOCAL_BUSY and len(job.attempts) < 2:
             local, tier = self._rank(job, now, self.fleet.pool((self.set.zone,), kind, job.index))
             if tier == 0:
