Clients: a silent connection that is to go ends in the same moment in which it was looked at

What callers saw: a request that crossed the closing of its connection was reset unread, though the connection was open when it was sent.

Cause: whoever makes room, or closes what rests at the end, asks the kernel whether bytes lie unread and then aborts the transport. An aborted transport closes its socket a turn of the event loop later; in a crowd a turn takes many accepts and closes. Bytes that came in between were closed over, which sends a reset. The operators' address had the same: look, cancel the call's task, close when the task has ended.

Change: shut_if_silent looks and shuts the connection down in both directions in one step, on all three paths. What comes later crosses an end that is on its way, which no server can help.

Evidence: the new test looks at the client's end right after the closer has run, in the same turn. Before: the end was not on its way (BlockingIOError), both cases red; now it is there.

--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -17,7 +17,7 @@
 from ...metrics import Counters
 from ...tasks import Tasks
 from ..arrival import since_last_segment_ms
-from ..listener import BACKLOG, BACKLOG_ENDING, Acceptor
+from ..listener import BACKLOG, BACKLOG_ENDING, Acceptor, shut_if_silent
 from . import reuseport, tunables
 from .drain import Drain
 from .handler import RequestHandler
@@ -138,9 +138,13 @@
                 session.reader.set_exception(TimeoutError("the scheduler ends"))
 
     def _close_resting(self, before: float) -> None:
-        """Close what has rested since before a time."""
+        """Close what has rested since before a time.
+
+        Guards against a request that came with its connection and waited to be accepted, as that connection counts
+        as idle since it was made: what lies in the kernel is looked at.
+        """
         for session in list(self.sessions.values()):
-            if session.may_close(before):
+            if session.may_close(before) and shut_if_silent(session.sock):
                 session.writer.transport.abort()
 
     async def close(self) -> None:
@@ -201,7 +205,7 @@
         for session in who_may_yield(self.sessions.values(), now):
             if wanted <= 0:
                 break
-            if session.unread_in_kernel:
+            if not shut_if_silent(session.sock):
                 self.counters.add("connections.not_yielded")
                 continue
             self._yield(session, now)
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -14,7 +14,6 @@
 import h11
 
 from ..arrival import ArrivalLog, age_ms, data_segments, since_last_data_ms
-from ..listener import readable
 from . import tunables
 
 
@@ -129,7 +128,7 @@
         Guards against a burst that keeps this process at work: a close lies in the kernel behind what has yet to
         be read, and is read a turn of the event loop after the request before it.  So the kernel is asked.
         """
-        if not self.protocol.left_at and closed_by_peer(self.writer.get_extra_info("socket").fileno()):
+        if not self.protocol.left_at and closed_by_peer(self.sock.fileno()):
             self.protocol.left_at = self.protocol.now()
         return self.protocol.left_at
 
@@ -137,11 +136,11 @@
         """Whether nothing is on its way on a connection that has waited since before a time.
 
         Guards against an answer that is still being taken, or a request that is half here or whole and not
-        looked at yet, when we leave: what this process has read is owed an answer.  Against a request, too, that
-        came with its connection and waited to be accepted: that connection counts as idle since it was made.
+        looked at yet, when we leave: what this process has read is owed an answer.  What lies in the kernel is
+        looked at by the caller.
         """
         return (self.waits is not None and self.waits < before and not self.halfway and not self.unread
-                and not self.writer.transport.get_write_buffer_size() and not self.unread_in_kernel)
+                and not self.writer.transport.get_write_buffer_size())
 
     def may_yield(self, now: float) -> tuple[Place, float] | None:
         """Its place among those that make room for a newcomer and since when it is idle; None: it stays.
@@ -174,14 +173,15 @@
         return self.protocol.pieces > 1 and not self.asked
 
     @property
-    def unread_in_kernel(self) -> bool:
-        """Whether bytes or an end have come that this process has yet to read."""
-        return readable(self.writer.get_extra_info("socket").fileno())
+    def sock(self) -> socket.socket:
+        """Its socket, to be asked or ended; the transport owns it."""
+        found: socket.socket = self.writer.get_extra_info("socket")
+        return found
 
     def describe(self, now: float) -> str:
         """Its state, for the log."""
         heard = self.protocol.heard_at
         last = f"the last {now - heard:.0f} ms ago" if heard else "none yet"
-        by_kernel = since_last_data_ms(self.writer.get_extra_info("socket"))
+        by_kernel = since_last_data_ms(self.sock)
         return (f"open for {now - self.since:.0f} ms, {self.protocol.heard} bytes in {self.protocol.pieces} parts,"
                 f" {last}, by the kernel {by_kernel} ms ago")
--- a/gaphub/net/listener.py
+++ b/gaphub/net/listener.py
@@ -1,6 +1,6 @@
 """Listening sockets: how many connections wait at one, and accepting them within the room that their owner has.
 
-It must never read from a connection, nor close one: the owner does.
+It must never read from a connection, nor close one by itself: the owner does.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 import select
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum, auto
 from typing import Protocol
 
@@ -44,6 +45,19 @@
     return bool(poll.poll(0))
 
 
+def shut_if_silent(sock: socket.socket) -> bool:
+    """End a connection in both directions unless bytes of it lie unread in the kernel; whether it was ended.
+
+    Guards against a request that comes after the look and before the close: a transport that is aborted closes its
+    socket a turn of the event loop later, and a close over unread bytes resets the connection.
+    """
+    if readable(sock.fileno()):
+        return False
+    with suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    return True
+
+
 class Owner(Protocol):
     """Who has the connections that are accepted."""
 
--- a/gaphub/net/ops.py
+++ b/gaphub/net/ops.py
@@ -20,7 +20,7 @@
 from ..config import Address
 from ..metrics import Counters
 from ..tasks import Tasks
-from .listener import BACKLOG, Acceptor, readable
+from .listener import BACKLOG, Acceptor, shut_if_silent
 
 READ = 4096
 HEAD_MOST = 8192  # bytes of a call's head
@@ -103,7 +103,7 @@
         for call in self._calls.values():
             if going >= wanted:
                 break
-            if call.reads and not call.yielded and call.heard_at <= before and not readable(call.sock.fileno()):
+            if call.reads and not call.yielded and call.heard_at <= before and shut_if_silent(call.sock):
                 self.counters.add("ops.made_room")
                 call.yielded = True
                 call.task.cancel()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -30,9 +30,9 @@
 
 from gaphub.lab.world import Agent, Workers
 from gaphub.net.arrival import tcp_info
-from gaphub.net.http import ClientSession, Inbound
+from gaphub.net.http import ClientSession, Inbound, tunables
 
-from .crowd import crowd
+from .crowd import HALF_A_HEAD, crowd
 from .fleet import play as in_time
 from .processes import Process, counters, running
 from .scenario import SETTINGS, Cast, free_port
@@ -289,6 +289,40 @@
     asyncio.run(run())
 
 
+# Guards against a request that meets the close of its connection which had just been seen to be silent.
+@pytest.mark.parametrize("closer", ["making room", "leaving"])
+def test_a_silent_connection_that_is_to_go_has_ended_before_anything_else_happens(closer: str) -> None:
+    async def run() -> None:
+        inbounds: list[Inbound] = []
+        opened = Inbound.open
+
+        async def noted(self: Inbound) -> None:
+            await opened(self)
+            inbounds.append(self)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Inbound, "open", noted)
+            async with Cast(known="") as cast:
+                with socket.create_connection(cast.config.listen) as client:
+                    client.sendall(HALF_A_HEAD)
+                    async with asyncio.timeout(WITHIN_S):
+                        while not (inbounds[0].sessions and inbounds[0].sessions[1].protocol.heard):
+                            await asyncio.sleep(0.01)
+                        session = inbounds[0].sessions[1]
+                        while session.unread:
+                            await asyncio.sleep(0.01)
+                    session.halfway = False
+                    client.setblocking(False)
+                    patch.setattr(tunables, "YIELD_MS", (0.0, 0.0, 0.0))
+                    if closer == "leaving":
+                        inbounds[0]._close_resting(1e18)
+                    else:
+                        assert inbounds[0]._make_room()
+                    assert client.recv(1) == b""  # BlockingIOError where the end is not on its way yet
+
+    asyncio.run(run())
+
+
 def test_a_process_that_ends_in_a_crowd_answers_newcomers_within_its_descriptors(tmp_path: Path) -> None:
     """More wait to be accepted than there are descriptors when the listener closes.
 
