HTTP front: the kernel keeps connections until their first byte, for 1 s at the most

Cause: who had said nothing for 0.5 s by the kernel's word, its wait in the accept queue counted, made room as soon as it was accepted. Ruled out: bytes read and not looked at (none had any), a dropped SYN (connecting took 2 ms at the most). Not done: a longer time for all, as the queue is served in order and everybody behind waits for it.

Change: TCP_DEFER_ACCEPT of 1 s, so that a silent connection has no place, no descriptor, and need not yield. Its age is that of its handshake, from the kernel's round trip, so that the 3 s that who stops is owed hold.

--- a/gaphub/net/arrival.py
+++ b/gaphub/net/arrival.py
@@ -20,6 +20,7 @@
 TCP_INFO_SIZE = 160  # bytes; older kernels fill in fewer
 LAST_DATA_RECEIVED = 52  # where ``tcpi_last_data_recv`` stands in ``struct tcp_info``: 32 bits, ms
 LAST_ACK_RECEIVED = 56  # and ``tcpi_last_ack_recv``, likewise
+ROUND_TRIP = 68  # and ``tcpi_rtt``, in us
 DATA_SEGMENTS = 152  # and ``tcpi_data_segs_in``
 SLEPT_S = 0.001  # a selector that took longer had to wait for what it found
 
@@ -69,9 +70,14 @@
     return tcp_info(sock, LAST_DATA_RECEIVED)
 
 
-def since_last_segment_ms(sock: socket.socket) -> float:
-    """How long ago a TCP connection's peer was last heard of: one that has sent nothing, as it connected; ms."""
-    return float(tcp_info(sock, LAST_ACK_RECEIVED) or 0)
+def since_connected_ms(sock: socket.socket) -> float:
+    """How long ago a TCP connection that is being accepted was made; ms, 0 where the kernel does not tell.
+
+    The one round trip that the kernel has seen by then is that of the handshake.  It ends with the first segment
+    that was not put off (TCP_DEFER_ACCEPT), so it holds the time for which the client had sent nothing.  Where
+    several segments have come, the last one is what counts, and the time is too short.
+    """
+    return float(tcp_info(sock, LAST_ACK_RECEIVED) or 0) + (tcp_info(sock, ROUND_TRIP) or 0) / 1000.0
 
 
 def data_segments(sock: socket.socket) -> int:
--- a/gaphub/net/http/drain.py
+++ b/gaphub/net/http/drain.py
@@ -25,8 +25,12 @@
 
     def hasten(self, longest_ms: float) -> None:
         """The longest deadline is this now: new settings may come after SIGTERM, and bring SIGKILL nearer."""
-        killed_at = self.told_at + min(longest_ms, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS
-        self.ends_at = min(self.ends_at, killed_at - tunables.LEAVE_SLACK_MS)
+        self.ends_at = min(self.ends_at, self.told_at + self.lasts_ms(longest_ms))
+
+    @staticmethod
+    def lasts_ms(longest_ms: float) -> float:
+        """From SIGTERM until all must be answered; ``longest_ms``: the longest deadline of a class."""
+        return min(longest_ms, tunables.LEAVE_MOST_MS) + tunables.LEAVE_MORE_MS - tunables.LEAVE_SLACK_MS
 
     def may_begin(self, job: Job, cls: ClassSettings) -> bool:
         """Whether there is time for a job; of one that came a while after SIGTERM, bound its time."""
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -16,8 +16,8 @@
 from ...messages import Fence
 from ...metrics import Counters
 from ...tasks import Tasks
-from ..arrival import since_last_segment_ms
-from ..listener import BACKLOG, BACKLOG_ENDING, Acceptor, shut_if_silent
+from ..arrival import since_connected_ms
+from ..listener import BACKLOG, BACKLOG_ENDING, DEFERRED_MS, Acceptor, defer_silent, shut_if_silent
 from . import reuseport, tunables
 from .drain import Drain
 from .handler import RequestHandler
@@ -44,6 +44,8 @@
         self._listener: socket.socket | None = None
         self._acceptor: Acceptor | None = None  # None: it listens no longer
         self._accepting: asyncio.Task[None] | None = None
+        self._defers = False  # the kernel keeps connections that have sent nothing
+        self._deferred_until = 0.0  # it may keep some yet; ms
         self._made_room_at = 0.0  # when connections were last looked at for that
         self._arriving = 0  # connections that are accepted and not in ``sessions`` yet
         self._tasks = Tasks(counters)
@@ -61,6 +63,11 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, tunables.RECEIVE)
         listener.bind(found[0][4])
         listener.listen(BACKLOG)
+        # Guards against a crowd that connects and says nothing: it held the places of others, and a client whose
+        # own machine came to write late was closed unread to make room.
+        # Not where a process that ends has no time to take those in that the kernel keeps.
+        if self.drain.lasts_ms(self._longest_deadline_ms()) >= DEFERRED_MS:
+            self._defers = defer_silent(listener, True)
         if self.shared:
             reuseport.share_out(listener)  # a process that left may have had all given to its successor
         self._acceptor = Acceptor(listener, self, self.counters, "connections")
@@ -70,6 +77,9 @@
         """Take in whoever the kernel has given to this process, as room comes, and listen no longer."""
         if self._acceptor is None or self._accepting is None:
             return
+        while self.core.clock.now() < min(self._deferred_until, self.drain.ends_at):
+            await asyncio.sleep(0.02)
+            self.drain.hasten(self._longest_deadline_ms())
         self._accepting.cancel()
         await asyncio.wait([self._accepting])
         ends_at = self.drain.ends_at + tunables.LEAVE_LAST_MS
@@ -77,6 +87,12 @@
             self.counters.log("connections.left_waiting", f"{left} at the end")
         self._acceptor = self._listener = None
 
+    def _stop_deferring(self) -> None:
+        """Have the kernel hand over connections that have sent nothing, as a close would reset them."""
+        if self._defers and self._listener is not None:
+            self._defers = defer_silent(self._listener, False)
+            self._deferred_until = self.core.clock.now() + DEFERRED_MS
+
     async def leave(self, others_serve: Callable[[], bool], successor: bool = False,
                     place: int = reuseport.SECOND) -> None:
         """After SIGTERM: serve on while connections come, then end each after its answer.
@@ -89,6 +105,7 @@
         """
         now = self.core.clock.now
         self.drain.begin(now(), self._longest_deadline_ms())
+        self._stop_deferring()
         if successor:
             self.drain.leaving = True
             if self._listener is not None:
@@ -179,7 +196,7 @@
 
     async def _take_in(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        since = self.core.clock.now() - since_last_segment_ms(sock)
+        since = self.core.clock.now() - since_connected_ms(sock)
         try:
             reader = asyncio.StreamReader(limit=tunables.RECEIVE)
             protocol = SessionProtocol(reader, self.core.clock.now)
--- a/gaphub/net/listener.py
+++ b/gaphub/net/listener.py
@@ -20,6 +20,8 @@
 # queue full is not refused: its SYN is dropped, and its client tries again after 1, 2 and 4 s.
 BACKLOG = 4096
 BACKLOG_ENDING = 64  # for a listener that is about to close: what waits then has to be accepted at once
+DEFER_S = 1  # for which the kernel keeps a connection that has sent nothing; it counts in whole seconds
+DEFERRED_MS = 1_100.0  # after deferring was ended all that were kept have come: the kernel's timers are coarse
 ACCEPT_MOST = 64  # connections accepted in one turn of the event loop
 ACCEPT_AGAIN_S = 0.01  # after accepting has failed
 ACCEPT_FAILURES = 4  # in a row, before that pause
@@ -45,6 +47,20 @@
     return bool(poll.poll(0))
 
 
+def defer_silent(listener: socket.socket, wanted: bool) -> bool:
+    """Have the kernel keep connections until their first bytes come, ``DEFER_S`` at the most; whether it does.
+
+    Kept connections take no descriptor and no place in the queue.  They are lost when the listener closes.
+
+    Source: tcp(7), TCP_DEFER_ACCEPT; where it is not to be had, connections are accepted as soon as they are made.
+    """
+    try:
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S if wanted else 0)
+        return bool(listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT))
+    except OSError:
+        return False
+
+
 def shut_if_silent(sock: socket.socket) -> bool:
     """End a connection in both directions unless bytes of it lie unread in the kernel; whether it was ended.
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -164,10 +164,15 @@
     return await _status(listen, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
 
 
+def job_request(ident: str, cls: str = "vyuctovani") -> str:
+    """One whole job."""
+    return (f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\nX-Priority-Class: {cls}\r\n"
+            "X-Timeout: 5000m\r\nContent-Length: 0\r\n\r\n")
+
+
 async def job(listen: int, ident: str, cls: str = "vyuctovani", host: str = "127.0.0.1") -> int:
     """One job on a connection of its own: the status, 0 where the connection was refused or reset."""
-    return await _status(listen, f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\n"
-                         f"X-Priority-Class: {cls}\r\nX-Timeout: 5000m\r\nContent-Length: 0\r\n\r\n", host)
+    return await _status(listen, job_request(ident, cls), host)
 
 
 async def counters(listen: int) -> str:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -90,7 +90,8 @@
     answer_s: float = PATIENCE_S
 
 
-async def newcomer(port: int, ident: str) -> Newcomer:
+async def newcomer(port: int, ident: str, pause_s: float = 0.0) -> Newcomer:
+    """``pause_s``: from its connecting to its first byte."""
     found, began = Newcomer(), time.monotonic()
     writer: asyncio.StreamWriter | None = None
     try:
@@ -98,6 +99,7 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             found.connect_s = time.monotonic() - began
             found.dropped = tcp_info(writer.get_extra_info("socket"), TOTAL_RETRANS) or 0
+            await asyncio.sleep(pause_s)
             writer.write(f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {ident}\r\nX-Priority-Class: poloha\r\n"
                          f"X-Timeout: {TIME_MS}m\r\nContent-Length: 0\r\n\r\n".encode())
             line = await reader.readline()
@@ -111,8 +113,8 @@
     return found
 
 
-async def play(size: int, folder: Path) -> list[Newcomer]:
-    """Newcomers one after another while a crowd of a size is there."""
+async def play(size: int, folder: Path, pause_s: float = 0.0) -> list[Newcomer]:
+    """Newcomers one after another while a crowd of a size is there; ``pause_s``: before their first bytes."""
     workers = Workers({"poloha": 20.0})
     await workers.open(WORKERS)
     agent = Agent(workers.addresses)
@@ -127,7 +129,7 @@
             began = time.monotonic()
             tasks = []
             for i in range(NEWCOMERS):
-                tasks.append(asyncio.create_task(newcomer(one.listen, f"new-{i}")))
+                tasks.append(asyncio.create_task(newcomer(one.listen, f"new-{i}", pause_s)))
                 await asyncio.sleep(APART_S)
             found = await asyncio.gather(*tasks)
             share = (one.processor_s() - used) / (time.monotonic() - began)
@@ -148,6 +150,14 @@
     assert [n for n in found if n.status != 200 or n.dropped] == []
 
 
+# Guards against closing a newcomer unread because its own machine came to write a while after it had connected.
+@pytest.mark.parametrize("pause_s", [0.3, 0.6, 0.9])
+def test_newcomers_that_write_a_while_after_connecting_are_served_in_a_crowd(
+        pause_s: float, tmp_path: Path) -> None:
+    found = asyncio.run(play(1_400, tmp_path, pause_s))
+    assert [n for n in found if n.status != 200 or n.dropped] == []
+
+
 @pytest.mark.parametrize("size", [200, 1_400])
 def test_who_stops_and_stays_in_a_crowd_gets_an_error_or_a_close_within_3_s(size: int, tmp_path: Path) -> None:
     """However it stops, from its connecting on; the smaller crowd fits into the clients' descriptors."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -412,6 +412,7 @@
         c2 send GET /-/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
         c2 expect 200
         c3 send
+        wait 1200
         c4 send POST /api HTTP/1.1\\r\\n
         c5 send job poloha r5
         c3 expect-close
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -23,10 +23,11 @@
 from gaphub.ops.out import Outs, Word
 
 from .fake import World, entry
-from .processes import Process, counters, job
+from .processes import Process, counters, job, job_request, running
 from .scenario import CLASSES, SETTINGS, Cast, free_port
 
 BURST = 60  # callers that connect at once
+LATE_JOBS = 24  # clients of an upgrade, shared out between two listeners
 WITHIN_S = 5.0  # for an answer; its time-out
 # The first call asks for the whole list: readiness waits for the answer.
 TOLD = """
@@ -343,6 +344,50 @@
     asyncio.run(play())
 
 
+# Guards against closing a listener while the kernel keeps connections whose clients have yet to write.
+@pytest.mark.parametrize("pause_s", [0.05, 0.4, 0.8])
+def test_who_connected_before_an_upgrade_and_writes_after_it_is_served(pause_s: float, tmp_path: Path) -> None:
+    async def late_job(listen: int, ident: str) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+        connected.append(ident)
+        await told.wait()
+        await asyncio.sleep(pause_s)
+        writer.write(job_request(ident).encode())
+        try:
+            return await reader.readline()
+        except ConnectionResetError:
+            return b"reset"
+        finally:
+            writer.close()
+
+    connected: list[str] = []
+    told = asyncio.Event()
+
+    async def play() -> None:
+        workers = Workers({"vyuctovani": 20.0})
+        await workers.open(2)
+        agent = Agent(workers.addresses)
+        await agent.open()
+        listen = free_port()
+        both = [Process(tmp_path, listen, agent, "old")]
+        with running(both):
+            await both[0].ready()
+            both.append(Process(tmp_path, listen, agent, "new"))
+            await both[1].ready()
+            jobs = [asyncio.create_task(late_job(listen, f"r{i}")) for i in range(LATE_JOBS)]
+            while len(connected) < LATE_JOBS:
+                await asyncio.sleep(0.005)
+            both[0].process.send_signal(signal.SIGTERM)
+            told.set()
+            answers = await asyncio.gather(*jobs)
+            assert [a for a in answers if b" 200 " not in a] == []
+            both[0].process.wait(WITHIN_S)
+        agent.close()
+        workers.close()
+
+    asyncio.run(play())
+
+
 def test_figures_under_load_and_failures_are_those_of_clients_and_workers(tmp_path: Path) -> None:
     async def play() -> None:
         workers = Workers({"poloha": 10.0, "vyuctovani": 25.0})
