--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -88,6 +88,7 @@
 class Newcomer:
     """One client with one job: its answer's status (0: none in its patience), and its times."""
 
+    ident: str
     status: int = 0
     dropped: int = 0  # its SYNs that were sent again, as they had found the queue full
     connect_s: float = PATIENCE_S
@@ -96,7 +97,7 @@
 
 async def newcomer(port: int, ident: str, pause_s: float = 0.0) -> Newcomer:
     """``pause_s``: from its connecting to its first byte."""
-    found, began = Newcomer(), time.monotonic()
+    found, began = Newcomer(ident), time.monotonic()
     writer: asyncio.StreamWriter | None = None
     try:
         async with asyncio.timeout(PATIENCE_S):
@@ -123,8 +124,8 @@
     await workers.open(WORKERS)
     agent = Agent(workers.addresses)
     await agent.open()
-    one = Process(folder, free_port(), agent, "one", DESCRIPTORS, settings={**SETTINGS, "grades": LATE_EARNS},
-                  limits={"memory_mb": 64, "sockets": DESCRIPTORS})
+    one = Process(folder, free_port(), agent, "one", DESCRIPTORS, fronts="[log]\nrequests = true\n",
+                  settings={**SETTINGS, "grades": LATE_EARNS}, limits={"memory_mb": 64, "sockets": DESCRIPTORS})
     with running([one]):
         await one.ready()
         with crowd(one.listen, size, CROWD_S):
@@ -145,6 +146,10 @@
           f"{connect[-4]:.2f}, {connect[-1]:.2f} s, answer {answer[-4]:.2f}, {answer[-1]:.2f} s; "
           f"{share:.2f} of a core at once")
     print(counts.splitlines()[-1])
+    unserved = [f"id={n.ident} " for n in found if n.status != 200]
+    for line in one.log.read_text(errors="replace").splitlines():
+        if any(ident in line for ident in unserved):
+            print(line)
     return found
 
 
