--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,7 +8,8 @@
 import socket
 import time
 from collections import Counter
-from contextlib import ExitStack
+from collections.abc import AsyncIterator
+from contextlib import ExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -295,51 +296,60 @@
 # --- upgrades: two processes of one scheduler --------------------------------------------------------
 
 
+@asynccontextmanager
+async def two_workers() -> AsyncIterator[tuple[Workers, Agent]]:
+    """Two stand-ins, and an agent that lists them."""
+    workers = Workers({"vyuctovani": 20.0})
+    await workers.open(2)
+    agent = Agent(workers.addresses)
+    await agent.open()
+    try:
+        yield workers, agent
+    finally:
+        agent.close()
+        workers.close()
+
+
 @pytest.mark.parametrize("how", ["upgrade", "never ready", "killed midway", "old one killed"])
 def test_an_upgrade_loses_no_job_and_keeps_who_is_out(how: str, tmp_path: Path) -> None:
     async def play() -> None:
-        workers = Workers({"vyuctovani": 20.0})
-        await workers.open(2)
-        agent = Agent(workers.addresses)
-        await agent.open()
-        listen = free_port()
-        old = Process(tmp_path, listen, agent, "old")
-        both = [old]
-        try:
-            await old.ready()
-            assert await old.call("PUT /ops/workers/down", "s-0") == 200
-            async with asyncio.timeout(10.0):
-                while not list(tmp_path.glob("*.legacy")):
-                    await asyncio.sleep(0.05)
-            bad: dict[str, Any] = {"admin": "nowhere"} if how == "never ready" else {}
-            new = Process(tmp_path, listen, agent, "new", **bad)
-            both.append(new)
-            if how == "never ready":
-                new.process.wait(20.0)
-            else:
-                await new.ready()
-            if how == "killed midway":
-                new.process.kill()
-                new.process.wait()
-            elif how == "old one killed":
-                old.process.kill()
-                old.process.wait()
-            elif how == "upgrade":
-                old.process.send_signal(signal.SIGTERM)
-            statuses = [await job(listen, f"r{i}") for i in range(60)]
-            assert statuses.count(200) == 60, statuses
-            if how in ("upgrade", "old one killed"):
-                old.process.wait(10.0)
-                assert await new.call("PUT /ops/workers/up", "s-0") == 200
-                assert "ops.inherited" in await counters(listen)  # it went on from what the old one had measured
-            assert workers.runs[workers.addresses[0]] == 0  # the one that is out
-            assert workers.runs[workers.addresses[1]] == 60
-        finally:
-            for p in both:
-                p.process.kill()
-                p.process.wait()
-            agent.close()
-            workers.close()
+        async with two_workers() as (workers, agent):
+            listen = free_port()
+            both = [Process(tmp_path, listen, agent, "old")]
+            with running(both):
+                await course(workers, agent, both)
+
+    async def course(workers: Workers, agent: Agent, both: list[Process]) -> None:
+        old = both[0]
+        listen = old.listen
+        await old.ready()
+        assert await old.call("PUT /ops/workers/down", "s-0") == 200
+        async with asyncio.timeout(10.0):
+            while not list(tmp_path.glob("*.legacy")):
+                await asyncio.sleep(0.05)
+        bad: dict[str, Any] = {"admin": "nowhere"} if how == "never ready" else {}
+        new = Process(tmp_path, listen, agent, "new", **bad)
+        both.append(new)
+        if how == "never ready":
+            new.process.wait(20.0)
+        else:
+            await new.ready()
+        if how == "killed midway":
+            new.process.kill()
+            new.process.wait()
+        elif how == "old one killed":
+            old.process.kill()
+            old.process.wait()
+        elif how == "upgrade":
+            old.process.send_signal(signal.SIGTERM)
+        statuses = [await job(listen, f"r{i}") for i in range(60)]
+        assert statuses.count(200) == 60, statuses
+        if how in ("upgrade", "old one killed"):
+            old.process.wait(10.0)
+            assert await new.call("PUT /ops/workers/up", "s-0") == 200
+            assert "ops.inherited" in await counters(listen)  # it went on from what the old one had measured
+        assert workers.runs[workers.addresses[0]] == 0  # the one that is out
+        assert workers.runs[workers.addresses[1]] == 60
 
     asyncio.run(play())
 
@@ -364,26 +374,21 @@
     told = asyncio.Event()
 
     async def play() -> None:
-        workers = Workers({"vyuctovani": 20.0})
-        await workers.open(2)
-        agent = Agent(workers.addresses)
-        await agent.open()
-        listen = free_port()
-        both = [Process(tmp_path, listen, agent, "old")]
-        with running(both):
-            await both[0].ready()
-            both.append(Process(tmp_path, listen, agent, "new"))
-            await both[1].ready()
-            jobs = [asyncio.create_task(late_job(listen, f"r{i}")) for i in range(LATE_JOBS)]
-            while len(connected) < LATE_JOBS:
-                await asyncio.sleep(0.005)
-            both[0].process.send_signal(signal.SIGTERM)
-            told.set()
-            answers = await asyncio.gather(*jobs)
-            assert [a for a in answers if b" 200 " not in a] == []
-            both[0].process.wait(WITHIN_S)
-        agent.close()
-        workers.close()
+        async with two_workers() as (_, agent):
+            listen = free_port()
+            both = [Process(tmp_path, listen, agent, "old")]
+            with running(both):
+                await both[0].ready()
+                both.append(Process(tmp_path, listen, agent, "new"))
+                await both[1].ready()
+                jobs = [asyncio.create_task(late_job(listen, f"r{i}")) for i in range(LATE_JOBS)]
+                while len(connected) < LATE_JOBS:
+                    await asyncio.sleep(0.005)
+                both[0].process.send_signal(signal.SIGTERM)
+                told.set()
+                answers = await asyncio.gather(*jobs)
+                assert [a for a in answers if b" 200 " not in a] == []
+                both[0].process.wait(WITHIN_S)
 
     asyncio.run(play())
 
