Gearman: a session whose packet came during a hold-up of the process is not ended as idle

What callers saw: a session ended, its packet unread, though it had spoken within idle_s.

Cause: the time-out of a session's next byte is a timer of the event loop. After a hold-up past it the timer and the packet are both there in the next turn, and the timer wins; and nobody looked at the kernel before the close.

Change: the time-out counts only once the sockets were polled after it, and the last look and the end are one step.

The test of idle sessions is unchanged but for the name of its front.

--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -72,7 +72,8 @@
 from ...metrics import Counters
 from ...store import Store
 from ...tasks import Tasks
-from ..listener import BACKLOG
+from ..listener import BACKLOG, shut_if_silent
+from ..timeouts import timeout_after_poll
 from .ends import End, Ends
 from .functions import Functions
 from .session import Assigned, Session, Work
@@ -267,16 +268,20 @@
 
         Guards against peers that vanished without a word and hold a descriptor for ever: a session that has no
         job out and waits for none ends after ``idle_s``.  A worker that sleeps is not idle: it waits for us.
+
+        Against ending one, too, whose packet came while this process was held up.
         """
-        while True:
-            limit = self.set.idle_s or None
+        while self.set.idle_s:
             try:
-                async with asyncio.timeout(limit):
+                async with timeout_after_poll(self.set.idle_s):
                     return await session.reader.readexactly(1)
             except TimeoutError:
-                if not (session.assigned or session.queue or session.waits_for or session.asleep):
+                if session.assigned or session.queue or session.waits_for or session.asleep:
+                    continue
+                if shut_if_silent(session.writer.get_extra_info("socket")):
                     self.counters.add("gearman.idle_closed")
                     raise
+        return await session.reader.readexactly(1)
 
     @staticmethod
     async def _drain(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -6,6 +6,7 @@
 import gc
 import socket
 import ssl
+import time
 from pathlib import Path
 
 import pytest
@@ -25,6 +26,13 @@
 tls_cert = "{0}/server.pem"
 tls_key = "{0}/server.key"
 """
+IDLE_FRONT = """
+[gearman]
+listen = "127.0.0.1:PORT"
+functions = { pos = "poloha" }
+idle_s = 0.3
+"""
+HELD_UP_S = 0.5  # longer than a session may idle there
 ECHO = pack(ECHO_REQ, b"hello", magic=REQUEST)
 
 
@@ -156,6 +164,23 @@
     assert CliRunner().invoke(gaphub, ["key", "cert", "--dir", str(tmp_path)]).exit_code == 2
 
 
+# Guards against ending a session as idle for a time in which this process was held up and the peer spoke.
+def test_a_session_whose_packet_lies_in_the_kernel_when_its_idle_time_ends_is_served() -> None:
+    async def run() -> None:
+        async with Cast(fronts=IDLE_FRONT, known="") as cast:
+            address = cast.config.fronts.gearman_at()
+            assert address is not None
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"version\n")
+            assert await reader.readline()
+            writer.write(b"version\n")
+            time.sleep(HELD_UP_S)  # nothing of this process goes on meanwhile
+            assert await reader.readline()  # empty where the session was ended
+            writer.close()
+
+    asyncio.run(run())
+
+
 def test_idle_sessions_end_but_not_those_that_wait_or_sleep() -> None:
     play("""
         g send 7 pos||x
@@ -170,4 +195,4 @@
         g expect #17 y
         g2 send 16 z
         g2 expect #17 z
-    """, fronts='[gearman]\nlisten = "127.0.0.1:PORT"\nfunctions = { pos = "poloha" }\nidle_s = 0.3\n', known="")
+    """, fronts=IDLE_FRONT, known="")
