--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,7 +18,7 @@
 import subprocess
 import tempfile
 import time
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -277,6 +277,33 @@
 # --- schedulers ----------------------------------------------------------------------------------------
 
 
+async def ask(address: Address, target: str) -> Any:
+    """What a scheduler answers a GET; None if it does not answer 200."""
+    try:
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                first, headers = await read_head(reader)
+                body = await reader.readexactly(int(headers["content-length"]))
+                return json.loads(body or b"{}") if " 200 " in first else None
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return None
+
+
+async def until_ready(numbers: Iterable[int], folder: Path, within_s: float,
+                      asked: Callable[[int, str], Coroutine[Any, Any, Any]]) -> None:
+    """Wait until schedulers are ready; ``asked``: what one answers a GET, None while it does not answer 200."""
+    ends = time.monotonic() + within_s
+    for n in numbers:
+        while await asked(n, "/-/ready") is None:
+            if time.monotonic() > ends:
+                raise TimeoutError((folder / f"n{n}" / "log").read_text()[-2000:])
+            await asyncio.sleep(0.02)
+
+
 @dataclass
 class Fleet:
     """Schedulers of one site; ``changes`` are settings other than the lab's, by section.
@@ -326,12 +353,7 @@
         """Start some, and wait until they are ready."""
         for n in numbers:
             self.processes[n] = start_gaphub(self.folder / f"n{n}", f"n{n}", [])
-        ends = time.monotonic() + READY_S
-        for n in numbers:
-            while await self.ask(n, "/-/ready") is None:
-                if time.monotonic() > ends:
-                    raise TimeoutError((self.folder / f"n{n}" / "log").read_text()[-2000:])
-                await asyncio.sleep(0.02)
+        await until_ready(numbers, self.folder, READY_S, self.ask)
 
     def kill(self, numbers: Sequence[int]) -> None:
         """SIGKILL some, and wait for their end."""
@@ -344,18 +366,7 @@
 
     async def ask(self, number: int, target: str) -> Any:
         """What one answers a GET; None if it does not answer 200."""
-        try:
-            async with asyncio.timeout(2.0):
-                reader, writer = await asyncio.open_connection(*self.addresses[number])
-                try:
-                    writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-                    first, headers = await read_head(reader)
-                    body = await reader.readexactly(int(headers["content-length"]))
-                    return json.loads(body or b"{}") if " 200 " in first else None
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            return None
+        return await ask(self.addresses[number], target)
 
     def close(self) -> None:
         """End all."""
--- a/tests/test_occupancy_processes.py
+++ b/tests/test_occupancy_processes.py
@@ -32,6 +32,8 @@
 from gaphub.occupancy.sized import LARGE_FROM_PEERS, LARGE_FROM_WORKERS
 from gaphub.occupancy.sums_messages import MESSAGE_BYTES_MAX
 
+from .fleet import ask, until_ready
+
 SCHEDULERS = 10
 LISTED = LARGE_FROM_WORKERS + 100
 HTTP_PORT, PEER_PORT = 7000, 7946
@@ -275,12 +277,7 @@
         for n in numbers:
             home = self.folder / f"n{n}"
             self.processes[n] = self._start(home, n in old)
-        ends = time.monotonic() + READY_S
-        for n in numbers:
-            while await self.ask(n, "/-/ready") is None:
-                if time.monotonic() > ends:
-                    raise TimeoutError((self.folder / f"n{n}" / "log").read_text()[-2000:])
-                await asyncio.sleep(0.02)
+        await until_ready(numbers, self.folder, READY_S, self.ask)
 
     def _start(self, home: Path, old: bool) -> subprocess.Popen[bytes]:
         large_from = NEVER_LARGE if old else self.large_from
@@ -296,18 +293,7 @@
 
     async def ask(self, number: int, target: str) -> Any:
         """What one answers a GET; None if it does not answer 200."""
-        try:
-            async with asyncio.timeout(2.0):
-                reader, writer = await asyncio.open_connection(*self.addresses[number])
-                try:
-                    writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-                    first, headers = await read_head(reader)
-                    body = await reader.readexactly(int(headers["content-length"]))
-                    return json.loads(body or b"{}") if " 200 " in first else None
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            return None
+        return await ask(self.addresses[number], target)
 
     async def counters(self) -> dict[int, Counter[str]]:
         return {n: Counter(await self.ask(n, "/-/counters") or {}) for n in self.processes}
