Decisions: silent work is counted until heard of only where schedulers tell each other their counts

The fault that the rule mends is a sum that says too little.

Change: where nothing is told, work without a sign is counted no longer, as before. Its test plays a scheduler that tells; with the rule taken away (trial) it fails.

--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -671,7 +671,8 @@
             if now - w.heard_at >= patience:
                 self._strike(w, now, "silent")
             long = now - heard > AGAIN_TIMES * self._usual_ms(job, w)
-            if long and w.heard_at > a.sent_at:  # else it may hold its slot as all the others there do
+            # Else it may hold its slot, as all others there do; the sums that gateways tell must say so.
+            if long and (w.heard_at > a.sent_at or not self.tells):
                 self._free(a, now)  # its connection is silent, or the work is not worth its place
             if long or self.set.second_copies:
                 self._again(a, now)
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -125,7 +125,7 @@
 # Guards against taking a full worker for a free one: work that outlasts the usual was counted no longer.
 def test_the_slots_of_silent_work_are_counted_as_long_as_nothing_is_heard_of_its_worker() -> None:
     patient = ClassSettings(aim_ms=300.0, deadline_ms=60_000.0, effect=Effect.UNSAFE)
-    world = World(workers=1, classes=(patient,))
+    world = World(workers=1, classes=(patient,), balancers=2, may_tell_peers=True)
     worker = world.b.fleet.workers[1]
     world.request()
     world.wait(20_000.0)
