HTTP front: the log tells when requests came after SIGTERM, and how long they have

Change: a job whose turn comes after SIGTERM is logged as drain.admitted or drain.refused with the times of its first and last byte since SIGTERM and the time it has left. ArrivalLog keeps when bytes were read beside when they arrived; what was read is a ReceivedRequest in place of a tuple. No decision is changed.

--- a/gaphub/net/arrival.py
+++ b/gaphub/net/arrival.py
@@ -17,6 +17,7 @@
 import struct
 import time
 from collections import deque
+from typing import NamedTuple
 
 TCP_INFO_SIZE = 160  # bytes; older kernels fill in fewer
 # Offsets in ``struct tcp_info``, each of a 32-bit field.
@@ -96,24 +97,41 @@
     return loop.selector.max_event_age_s() * 1000.0 if isinstance(loop, TimedLoop) else 0.0
 
 
+class _Chunk(NamedTuple):
+    """Consecutive bytes of a stream."""
+
+    end: int  # offset of the byte after them
+    arrived_at: float  # of the first of them, at the earliest
+    read_at: float  # when the last of them was read
+
+
 class ArrivalLog:
-    """Arrival times of the bytes of one stream, by stream offset.  Pure; times are in any one unit."""
+    """When the bytes of one stream arrived and were read, by stream offset.  Pure; times are in any one unit."""
 
-    MAX_ENTRIES = 64  # when full, new bytes are merged into the last entry and get its arrival time
+    MAX_ENTRIES = 64  # when full, new bytes are merged into the last entry, which keeps its arrival time
 
     def __init__(self) -> None:
-        self._chunks: deque[tuple[int, float]] = deque()  # (end offset, arrival time) of each chunk
+        self._chunks: deque[_Chunk] = deque()
         self._end = 0
 
-    def record(self, count: int, at: float) -> None:
-        """Record the arrival of ``count`` more bytes."""
+    def record(self, count: int, arrived_at: float, read_at: float) -> None:
+        """Record ``count`` more bytes: when they arrived, as estimated, and when they were read."""
         self._end += count
         if len(self._chunks) >= self.MAX_ENTRIES:
-            at = self._chunks.pop()[1]
-        self._chunks.append((self._end, at))
+            arrived_at = self._chunks.pop().arrived_at
+        self._chunks.append(_Chunk(self._end, arrived_at, read_at))
+
+    def arrival_of(self, offset: int) -> float | None:
+        """When the byte at an offset arrived, at the earliest; None if it has not.  Discards entries before it."""
+        chunk = self._chunk_at(offset)
+        return None if chunk is None else chunk.arrived_at
+
+    def read_time_of(self, offset: int) -> float | None:
+        """When the byte at an offset was read, at the latest; None if it was not.  Discards entries before it."""
+        chunk = self._chunk_at(offset)
+        return None if chunk is None else chunk.read_at
 
-    def time_of(self, offset: int) -> float | None:
-        """When the byte at an offset arrived, or None if it has not.  Discards the entries before it."""
-        while self._chunks and self._chunks[0][0] <= offset:
+    def _chunk_at(self, offset: int) -> _Chunk | None:
+        while self._chunks and self._chunks[0].end <= offset:
             self._chunks.popleft()
-        return self._chunks[0][1] if self._chunks else None
+        return self._chunks[0] if self._chunks else None
--- a/gaphub/net/http/drain.py
+++ b/gaphub/net/http/drain.py
@@ -8,6 +8,9 @@
 from ...interface import ClassSettings, Effect
 from ...messages import Job
 from . import tunables
+from .request import ReceivedRequest
+
+NEVER_MS = 1e18  # later than any time on the scheduler's clock
 
 
 class Drain:
@@ -15,8 +18,8 @@
 
     def __init__(self) -> None:
         self.closing_connections = False  # each connection is closed after its next answer
-        self.started_at = 1e18  # when SIGTERM was received
-        self.deadline = 1e18  # when requests received a while after SIGTERM must be answered
+        self.started_at = NEVER_MS  # when SIGTERM was received
+        self.deadline = NEVER_MS  # when requests received a while after SIGTERM must be answered
 
     def begin(self, now: float, longest_deadline_ms: float) -> None:
         """Start draining; ``longest_deadline_ms`` is the longest deadline of any class."""
@@ -36,6 +39,18 @@
         return (min(longest_deadline_ms, tunables.DRAIN_MAX_DEADLINE_MS)
                 + tunables.DRAIN_EXTRA_MS - tunables.DRAIN_SLACK_MS)
 
+    @property
+    def began(self) -> bool:
+        """Whether SIGTERM was received."""
+        return self.deadline < NEVER_MS
+
+    def describe(self, job: Job, request: ReceivedRequest, now: float) -> str:
+        """A job for the log: when its request came, in ms since SIGTERM, and the time that it has left."""
+        return (f"id={job.ident} first_byte={request.first_byte_at - self.started_at:.0f}"
+                f" last_byte={request.last_byte_at - self.started_at:.0f}"
+                f" read={request.read_at - self.started_at:.0f} now={now - self.started_at:.0f}"
+                f" left={job.received_at + job.left_ms - now:.0f} drain_left={self.deadline - now:.0f}")
+
     def admit(self, job: Job, class_settings: ClassSettings) -> bool:
         """Whether there is time left for a job.
 
--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -21,7 +21,7 @@
 from ..timeouts import timeout_after_poll
 from . import tunables
 from .drain import Drain
-from .request import BadRequestError, check_head, parse_job
+from .request import BadRequestError, ReceivedRequest, check_head, parse_job
 from .session import ClientSession
 
 _HTTP_STATUS = {FinalStatus.SERVED: 200, FinalStatus.REFUSED: 503, FinalStatus.FAILED: 502}
@@ -58,7 +58,7 @@
                 if received is None:
                     return
                 session.waiting_since = None
-                await self._handle(*received, http, session)
+                await self._handle(received, http, session)
             except (BadRequestError, h11.RemoteProtocolError) as error:
                 self.counters.log("garbled.request", str(error) or type(error).__name__)
                 status = error.status if isinstance(error, BadRequestError) else error.error_status_hint
@@ -135,9 +135,8 @@
         async with timeout_after_poll((deadline - self.core.clock.now()) / 1000.0):
             return await session.read()
 
-    async def _read_request(self, http: h11.Connection,
-                            session: ClientSession) -> tuple[h11.Request, bytes, float] | None:
-        """Read the next request: head, body and arrival time of its first byte; None if the client closes."""
+    async def _read_request(self, http: h11.Connection, session: ClientSession) -> ReceivedRequest | None:
+        """Read the next request; None if the client closes."""
         request: h11.Request | None = None
         body = bytearray()
         turn_at = self.core.clock.now() if http.trailing_data[0] else 0.0  # when this request's turn came
@@ -177,15 +176,17 @@
                         raise BadRequestError(503, "memory for request bodies is used up")
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
                     self._set_read_ahead(session, len(http.trailing_data[0]))
-                    return request, bytes(body), arrived_at
+                    now = self.core.clock.now()
+                    return ReceivedRequest(request, bytes(body), arrived_at, session.last_byte_at(http, now),
+                                           session.read_whole_at(http, now))
                 else:
                     return None
         finally:
             session.mid_request = False
             self.free_body_bytes += len(body)
 
-    async def _handle(self, event: h11.Request, body: bytes, received_at: float, http: h11.Connection,
-                      session: ClientSession) -> None:
+    async def _handle(self, request: ReceivedRequest, http: h11.Connection, session: ClientSession) -> None:
+        event = request.head
         target = event.target.partition(b"?")[0]
         if event.method == b"GET" and target == b"/-/ready":
             await self._write_answer(http, session, 200 if self.ready else 503, b"")
@@ -195,8 +196,7 @@
             await self._write_answer(http, session, 404 if event.method == b"GET" else 405, b"")
         else:
             future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-            job = parse_job(event, body, self.core.class_table.active_rows, received_at,
-                            lambda a: _set_answer(future, a))
+            job = parse_job(request, self.core.class_table.active_rows, lambda a: _set_answer(future, a))
             if job.ident in self.open_ids:
                 raise BadRequestError(409, "X-Request-ID is in use by an open request")
             session.had_job = True
@@ -211,7 +211,7 @@
                     # frozen is noticed by the clock.
                     self.counters.add("requests.fenced")
                     future.set_result(self.core.reject(job, job.fence.retry_after_ms if job.fence else 0.0))
-                elif not self.drain.admit(job, self.core.settings.classes[job.class_index]):
+                elif not self._admit(job, request):
                     future.set_result(self.core.reject(job, tunables.DRAIN_RETRY_AFTER_MS))
                 elif not self.core.offer(job):
                     future.set_result(self.core.reject(job))
@@ -226,6 +226,14 @@
             await self._write_answer(http, session, _HTTP_STATUS[answer.final_status], answer.body, extra,
                                      session.flooded)
 
+    def _admit(self, job: Job, request: ReceivedRequest) -> bool:
+        """Whether a job may still start; logged while this process shuts down."""
+        admitted = self.drain.admit(job, self.core.settings.classes[job.class_index])
+        if self.drain.began:
+            self.counters.log("drain.admitted" if admitted else "drain.refused",
+                              self.drain.describe(job, request, self.core.clock.now()))
+        return admitted
+
     async def _wait_for_answer(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
                                session: ClientSession) -> Answer | None:
         """Wait for the final answer; None if the client leaves first, which is reported to the core."""
--- a/gaphub/net/http/request.py
+++ b/gaphub/net/http/request.py
@@ -8,6 +8,7 @@
 import re
 import zlib
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 import h11
 
@@ -23,6 +24,17 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A request that was read whole.  Times are in ms on the scheduler's clock."""
+
+    head: h11.Request
+    body: bytes
+    first_byte_at: float  # when its first byte reached this machine
+    last_byte_at: float  # when its last byte did, at the earliest
+    read_at: float  # when its last byte was read from the socket
+
+
 _TIMEOUT = re.compile(rb"(\d{1,12})(?:\.\d+)?([mu])")
 _IDENT = re.compile(rb"[!-~]{1,128}")
 _UNIQUE_HEADERS = (b"x-request-id", b"x-priority-class", b"x-timeout", b"x-attrs", b"x-retried", b"content-length",
@@ -52,9 +64,9 @@
             raise BadRequestError(413, "body larger than 64 KiB")
 
 
-def parse_job(event: h11.Request, body: bytes, classes: Mapping[str, int], received_at: float,
-              reply: Callable[[Answer], None]) -> Job:
+def parse_job(request: ReceivedRequest, classes: Mapping[str, int], reply: Callable[[Answer], None]) -> Job:
     """Parse a request into a job; raises BadRequestError if a header is missing or invalid."""
+    event = request.head
     headers = dict(event.headers)
     ident = headers.get(b"x-request-id", b"")
     if not _IDENT.fullmatch(ident):
@@ -73,8 +85,8 @@
             if not re.fullmatch(r"\d{1,9}(\.\d{1,9})?", value):
                 raise BadRequestError(400, "X-Attrs is invalid")
             attributes[name] = float(value)
-    return Job(ident.decode(), class_index, received_at, left_ms - tunables.TRANSIT_ALLOWANCE_MS, reply, body,
-               event.method.decode(), event.target.decode(), parse_key(headers.get(b"cookie", b"")),
+    return Job(ident.decode(), class_index, request.first_byte_at, left_ms - tunables.TRANSIT_ALLOWANCE_MS, reply,
+               request.body, event.method.decode(), event.target.decode(), parse_key(headers.get(b"cookie", b"")),
                attributes["slots"] or 1.0, attributes["memory"], headers.get(b"x-retried") == b"1",
                forwarded_headers=forwarded_headers(event))
 
--- a/gaphub/net/http/session.py
+++ b/gaphub/net/http/session.py
@@ -54,7 +54,7 @@
         self.segments_received += 1 if self.segments_received else max(1, received_segments(self._socket))
         self.last_read_at = self.now()
         self.last_received_at = self.last_read_at - data_age_ms(self._socket, asyncio.get_running_loop())
-        self.arrivals.record(len(data), self.last_received_at)
+        self.arrivals.record(len(data), self.last_received_at, self.last_read_at)
         super().data_received(data)
 
     def eof_received(self) -> bool | None:
@@ -111,7 +111,17 @@
 
     def arrived_at(self, http: h11.Connection, now: float) -> float:
         """When the first byte that ``http`` has not parsed yet reached this machine; at most ``now``."""
-        known = self.protocol.arrivals.time_of(self.bytes_read - len(http.trailing_data[0]))
+        known = self.protocol.arrivals.arrival_of(self.bytes_read - len(http.trailing_data[0]))
+        return now if known is None else min(now, known)
+
+    def last_byte_at(self, http: h11.Connection, now: float) -> float:
+        """When the last byte of the request that ``http`` has just parsed arrived here, at the earliest."""
+        known = self.protocol.arrivals.arrival_of(self.bytes_read - len(http.trailing_data[0]) - 1)
+        return now if known is None else min(now, known)
+
+    def read_whole_at(self, http: h11.Connection, now: float) -> float:
+        """When the last byte of the request that ``http`` has just parsed was read from the socket."""
+        known = self.protocol.arrivals.read_time_of(self.bytes_read - len(http.trailing_data[0]) - 1)
         return now if known is None else min(now, known)
 
     @property
--- a/tests/test_deadline_told.py
+++ b/tests/test_deadline_told.py
@@ -247,13 +247,16 @@
 
 def test_arrival_times_go_with_the_bytes() -> None:
     log = ArrivalLog()
-    log.record(10, 1.0)
-    log.record(5, 2.0)
-    assert (log.time_of(0), log.time_of(9), log.time_of(10), log.time_of(14)) == (1.0, 1.0, 2.0, 2.0)
-    assert log.time_of(15) is None
+    log.record(10, 1.0, 1.5)
+    log.record(5, 2.0, 2.5)
+    assert [log.arrival_of(offset) for offset in (0, 9, 10, 14)] == [1.0, 1.0, 2.0, 2.0]
+    assert log.read_time_of(14) == 2.5
+    assert log.arrival_of(15) is None and log.read_time_of(15) is None
     for i in range(10_000):
-        log.record(1, 3.0 + i)
-    assert log.time_of(15) == 3.0
+        log.record(1, 3.0 + i, 3.5 + i)
+    assert log.arrival_of(15) == 3.0
+    assert log.read_time_of(15) == 3.5
     assert len(log._chunks) <= ArrivalLog.MAX_ENTRIES
-    last = log.time_of(10_014)
+    last = log.arrival_of(10_014)
     assert last is not None and 3.0 <= last <= 10_002.0  # never later than it arrived
+    assert log.read_time_of(10_014) == 10_002.5  # never earlier than it was read
