Drain: a request that is whole late after SIGTERM is answered before SIGKILL

Change: the moment that counts is when the last byte was read. It is never earlier than its arrival, also where the kernel does not say when bytes arrived.

--- a/gaphub/net/http/drain.py
+++ b/gaphub/net/http/drain.py
@@ -51,14 +51,15 @@
                 f" read={request.read_at - self.started_at:.0f} now={now - self.started_at:.0f}"
                 f" left={job.received_at + job.left_ms - now:.0f} drain_left={self.deadline - now:.0f}")
 
-    def admit(self, job: Job, class_settings: ClassSettings) -> bool:
+    def admit(self, job: Job, class_settings: ClassSettings, request: ReceivedRequest) -> bool:
         """Whether there is time left for a job.
 
-        A job that was received more than ``DRAIN_EXTRA_MS - DRAIN_SLACK_MS`` after SIGTERM gets no more time than
-        until the drain's deadline. It is not admitted if it is not safe to repeat and too little time is left.
+        A job whose request was read whole more than ``DRAIN_EXTRA_MS - DRAIN_SLACK_MS`` after SIGTERM gets no more
+        time than until the drain's deadline. It is not admitted if it is not safe to repeat and too little time is
+        left.
         """
-        if job.received_at > self.started_at + tunables.DRAIN_EXTRA_MS - tunables.DRAIN_SLACK_MS:
+        if request.read_at > self.started_at + tunables.DRAIN_EXTRA_MS - tunables.DRAIN_SLACK_MS:
             job.left_ms = min(job.left_ms, self.deadline - job.received_at)
             return (class_settings.effect == Effect.SAFE
-                    or job.left_ms >= tunables.DRAIN_MIN_LEFT_AIMS * class_settings.aim_ms)
+                    or self.deadline - request.read_at >= tunables.DRAIN_MIN_LEFT_AIMS * class_settings.aim_ms)
         return True
--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -228,7 +228,7 @@
 
     def _admit(self, job: Job, request: ReceivedRequest) -> bool:
         """Whether a job may still start; logged while this process shuts down."""
-        admitted = self.drain.admit(job, self.core.settings.classes[job.class_index])
+        admitted = self.drain.admit(job, self.core.settings.classes[job.class_index], request)
         if self.drain.began:
             self.counters.log("drain.admitted" if admitted else "drain.refused",
                               self.drain.describe(job, request, self.core.clock.now()))
--- /dev/null
+++ b/tests/test_late_requests.py
@@ -0,0 +1,108 @@
+"""Requests whose last byte comes long after their first one, while a real scheduler serves or shuts down.
+
+The protocol page counts a request's time from its last byte.  A scheduler that gets SIGTERM must have answered all
+requests that came more than 0.7 s after it by the earliest SIGKILL, which follows the longest deadline (counted as
+3 s at most) plus 0.7 s after SIGTERM.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from .fleet import play
+from .processes import Process
+from .test_shutdown_limits import Site
+
+KILL_MARGIN_S = 0.7  # between the longest deadline and the earliest SIGKILL
+MAX_DEADLINE_S = 3.0  # a longer deadline does not delay SIGKILL further
+SOCKET_TOLERANCE_S = 0.05  # the page's tolerance on real sockets
+PIECES = 8
+CLIENTS = 6
+TEST_TIMEOUT_S = 40.0
+
+
+def job_class(effect: str, aim_s: float, deadline_s: float) -> dict[str, Any]:
+    """The settings of the only class."""
+    return {"name": "poloha", "slo": aim_s * 1e3, "deadline": deadline_s * 1e3, "idempotency": effect}
+
+
+@dataclass
+class SlowRequest:
+    """One request that a client writes in pieces.  Times are on the monotonic clock."""
+
+    ident: str
+    deadline_s: float
+    writing_s: float  # from its first piece to its last
+    status: int = 0  # of its answer; 0: none
+    completed_at: float = 0.0  # when its last byte was written; 0: never
+
+    def pieces(self) -> list[bytes]:
+        """The request, cut into pieces."""
+        data = (f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {self.ident}\r\nX-Priority-Class: poloha\r\n"
+                f"X-Timeout: {self.deadline_s * 1e3:.0f}m\r\nContent-Length: 40\r\n\r\n{'b' * 40}").encode()
+        cuts = [len(data) * i // PIECES for i in range(PIECES + 1)]
+        return [data[start:end] for start, end in pairwise(cuts)]
+
+    async def send(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Write the request on an open connection and read its answer."""
+        with suppress(OSError, asyncio.IncompleteReadError):
+            for i, piece in enumerate(self.pieces()):
+                if i and self.writing_s:
+                    await asyncio.sleep(self.writing_s / (PIECES - 1))
+                if reader.at_eof():
+                    return
+                writer.write(piece)
+            self.completed_at = time.monotonic()
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]))
+            self.status = int(head.split()[1])
+
+    async def connect_and_send(self, port: int) -> None:
+        """Write the request on a new connection and read its answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        await self.send(reader, writer)
+        writer.close()
+
+
+def earliest_kill_s(deadline_s: float) -> float:
+    """Time from SIGTERM to the earliest SIGKILL."""
+    return min(deadline_s, MAX_DEADLINE_S) + KILL_MARGIN_S
+
+
+# Guards against requests that began before SIGTERM and were whole long after it, and had no answer at SIGKILL: the
+# time until which they must be answered was set for those alone whose first byte came late.
+@pytest.mark.parametrize(("deadline_s", "writing_s"), [(0.9, 1.0), (3.0, 1.9), (20.0, 1.9)])
+@pytest.mark.parametrize("effect", ["at_most_once", "idempotent"])
+def test_requests_written_slowly_over_sigterm_are_answered_by_sigkill(
+        effect: str, deadline_s: float, writing_s: float, tmp_path: Path) -> None:
+    kill_after_s = earliest_kill_s(deadline_s)
+    requests = [SlowRequest(f"slow-{i}", deadline_s, writing_s) for i in range(CLIENTS)]
+
+    async def scenario(scheduler: Process) -> None:
+        sending = []
+        for request in requests:
+            sending.append(asyncio.create_task(request.connect_and_send(scheduler.listen)))
+            await asyncio.sleep(0.05)
+        sigterm_at = time.monotonic()
+        scheduler.process.send_signal(signal.SIGTERM)
+        kill_at = sigterm_at + kill_after_s + SOCKET_TOLERANCE_S
+        while scheduler.process.poll() is None and time.monotonic() < kill_at:
+            await asyncio.sleep(0.005)
+        scheduler.process.kill()
+        await asyncio.wait(sending)
+        owed = [request for request in requests
+                if request.completed_at > sigterm_at + KILL_MARGIN_S + SOCKET_TOLERANCE_S]
+        assert owed, "no request came late"
+        assert all(request.status for request in owed), requests
+
+    classes = [job_class(effect, min(1.2, deadline_s / 2), deadline_s)]
+    play(Site(tmp_path, kill_after_s, grades=classes).play(scenario), TEST_TIMEOUT_S)
