Drain: open jobs follow new settings that bring SIGKILL nearer

Seen: requests sent 0.75 s after SIGTERM, in work when SIGHUP shortens the longest deadline from 3 to 0.6 s, had no answer at the SIGKILL that the new settings allow: six of six in two plays.

By the log each job had 2.70 s left, to the end of the former settings (drain_left=2697). Ruled out: the drain itself, whose end had moved (the connections were closed by then in the older test of such a reload).

Change: jobs that must be answered before SIGKILL are kept by the handler while they are open, and the core moves their deadlines when the drain's end moves. Jobs that came before are left their time, as they may be unanswered then.

Measured: the two new cases failed before and pass after, with test_shutdown_limits.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -246,6 +246,13 @@
         for job in [j for j in self._jobs.values() if not j.open_calls and not self.fence_holds(j)]:
             self._answer_fenced(job)
 
+    def shorten_deadline(self, job: Job, deadline: float) -> None:
+        """Move the deadline of an open request forward; the Balancer keeps the one that it was told."""
+        if not job.answered and deadline < job.deadline:
+            job.balancer_budget_ms = job.balancer_budget_ms or job.deadline - job.received_at
+            job.deadline = deadline
+            heappush(self._deadlines, (deadline - WATCHDOG_MARGIN_MS, job.number))
+
     def client_gone(self, job: Job) -> None:
         """The client disconnected; no answer is due any more."""
         if not job.answered:
--- a/gaphub/net/http/drain.py
+++ b/gaphub/net/http/drain.py
@@ -26,12 +26,14 @@
         self.started_at = now
         self.shorten(longest_deadline_ms)
 
-    def shorten(self, longest_deadline_ms: float) -> None:
-        """Move the deadline forward if the longest class deadline is shorter now.
+    def shorten(self, longest_deadline_ms: float) -> bool:
+        """Move the deadline forward if the longest class deadline is shorter now; whether it moved.
 
         A reload after SIGTERM may shorten the deadlines, and SIGKILL then follows sooner.
         """
-        self.deadline = min(self.deadline, self.started_at + self.duration_ms(longest_deadline_ms))
+        former = self.deadline
+        self.deadline = min(former, self.started_at + self.duration_ms(longest_deadline_ms))
+        return self.deadline < former
 
     @staticmethod
     def duration_ms(longest_deadline_ms: float) -> float:
@@ -51,15 +53,19 @@
                 f" read={request.read_at - self.started_at:.0f} now={now - self.started_at:.0f}"
                 f" left={job.received_at + job.left_ms - now:.0f} drain_left={self.deadline - now:.0f}")
 
+    def must_answer(self, request: ReceivedRequest) -> bool:
+        """Whether a request was whole so long after SIGTERM that it must be answered before SIGKILL."""
+        return request.read_at > self.started_at + tunables.DRAIN_EXTRA_MS - tunables.DRAIN_SLACK_MS
+
     def admit(self, job: Job, request: ReceivedRequest, class_settings: ClassSettings, usual_ms: float,
               now: float) -> bool:
         """Whether there is time left for a job, which takes ``usual_ms`` as far as it is known.
 
-        A job whose request was read whole more than ``DRAIN_EXTRA_MS - DRAIN_SLACK_MS`` after SIGTERM gets no more
-        time than until the drain's deadline. If that is less than its client's, it is not admitted if it is not
-        safe to repeat and the time left is shorter than such jobs usually take.
+        A job that must be answered before SIGKILL gets no more time than until the drain's deadline. If that is
+        less than its client's, it is not admitted if it is not safe to repeat and the time left is shorter than
+        such jobs usually take.
         """
-        if request.read_at <= self.started_at + tunables.DRAIN_EXTRA_MS - tunables.DRAIN_SLACK_MS:
+        if not self.must_answer(request):
             return True
         client_left_ms = min(job.left_ms, class_settings.deadline_ms)
         drain_left_ms = self.deadline - job.received_at
--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -10,6 +10,7 @@
 import re
 from collections.abc import Iterable
 from contextlib import suppress
+from functools import partial
 from typing import Any
 
 import h11
@@ -39,6 +40,7 @@
         self.fence = fence
         self.free_body_bytes = free_body_bytes
         self.open_ids: set[str] = set()
+        self._owed_jobs: dict[str, Job] = {}  # by id: open ones that must be answered before SIGKILL
         self.ready = False
         self._flooding_clients = 0  # clients whose excess input is being discarded
 
@@ -219,6 +221,7 @@
                 answer = await self._wait_for_answer(job, future, http, session)
             finally:
                 self.open_ids.discard(job.ident)
+                self._owed_jobs.pop(job.ident, None)
             if answer is None:
                 raise ConnectionResetError("client left before its answer")
             extra = []
@@ -232,11 +235,18 @@
         now = self.core.clock.now()
         admitted = self.drain.admit(job, request, self.core.settings.classes[job.class_index],
                                     self.core.usual_response_ms(job.class_index), now)
+        if admitted and self.drain.must_answer(request):
+            self._owed_jobs[job.ident] = job
         if self.drain.began:
             self.counters.log("drain.admitted" if admitted else "drain.refused",
                               self.drain.describe(job, request, now))
         return admitted
 
+    async def shorten_open_jobs(self) -> None:
+        """Have the jobs that must be answered before SIGKILL end with the drain, whose deadline has moved."""
+        for job in list(self._owed_jobs.values()):
+            await self.core.post(partial(self.core.shorten_deadline, job, self.drain.deadline))
+
     async def _wait_for_answer(self, job: Job, future: asyncio.Future[Answer], http: h11.Connection,
                                session: ClientSession) -> Answer | None:
         """Wait for the final answer; None if the client leaves first, which is reported to the core."""
--- a/gaphub/net/http/inbound.py
+++ b/gaphub/net/http/inbound.py
@@ -83,7 +83,7 @@
             return
         while self.core.clock.now() < min(self._deferred_until, self.drain.deadline):
             await asyncio.sleep(0.02)
-            self.drain.shorten(self._longest_deadline_ms())
+            await self._follow_deadlines()
         self._accept_task.cancel()
         await asyncio.wait([self._accept_task])
         deadline = self.drain.deadline + tunables.DRAIN_LAST_ACCEPT_MS
@@ -126,7 +126,7 @@
         while (successor and self.sessions or not (successor or others_serve())) \
                 and now() < self.drain.deadline - tunables.DRAIN_MIN_LEFT_MS:
             await asyncio.sleep(0.02)
-            self.drain.shorten(self._longest_deadline_ms())
+            await self._follow_deadlines()
         self.drain.closing_connections = True
         if self._listener is not None:
             # Connections that are queued when the listener closes must all be accepted. A short queue keeps many
@@ -134,7 +134,7 @@
             self._listener.listen(SHUTDOWN_BACKLOG)
         while True:
             while self.sessions or self._starting_sessions or self.core.open_jobs:
-                self.drain.shorten(self._longest_deadline_ms())
+                await self._follow_deadlines()
                 if now() < self.drain.deadline:
                     self._close_idle(now() - tunables.DRAIN_IDLE_S * 1000.0)
                 else:
@@ -147,6 +147,11 @@
             # this process would reset it with its request unread.
             await self._stop_accepting()
 
+    async def _follow_deadlines(self) -> None:
+        """Follow a reload that shortens the deadlines: SIGKILL comes sooner, also for jobs that are open."""
+        if self.drain.shorten(self._longest_deadline_ms()):
+            await self.handler.shorten_open_jobs()
+
     def _longest_deadline_ms(self) -> float:
         """Longest deadline of the classes in force; open jobs may belong to others, but SIGKILL ignores those."""
         return max(self.core.settings.classes[row].deadline_ms
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -168,6 +168,35 @@
     play(Site(tmp_path, work_s, grades=classes).play(scenario), TEST_TIMEOUT_S)
 
 
+# Guards against jobs that keep the former end of the drain when SIGHUP, after SIGTERM, brings shorter deadlines
+# and with them an earlier SIGKILL.
+@pytest.mark.parametrize("effect", ["at_most_once", "idempotent"])
+def test_requests_that_came_before_shorter_deadlines_are_answered_by_the_earlier_sigkill(
+        effect: str, tmp_path: Path) -> None:
+    long_deadline_s, short_deadline_s = 3.0, 0.6
+    requests = [SlowRequest(f"late-{i}", long_deadline_s, 0.0) for i in range(CLIENTS)]
+    site = Site(tmp_path, long_deadline_s, grades=[job_class(effect, 0.5, long_deadline_s)])
+
+    async def scenario(scheduler: Process) -> None:
+        connections = [await asyncio.open_connection("127.0.0.1", scheduler.listen) for _ in requests]
+        scheduler.process.send_signal(signal.SIGTERM)
+        sigterm_at = time.monotonic()
+        await asyncio.sleep(KILL_MARGIN_S + SOCKET_TOLERANCE_S)
+        sending = [asyncio.create_task(request.send(*connection))
+                   for request, connection in zip(requests, connections, strict=True)]
+        await asyncio.sleep(0.1)
+        scheduler.reload(settings={**site.settings, "grades": [job_class(effect, 0.3, short_deadline_s)]})
+        await asyncio.sleep(sigterm_at + earliest_kill_s(short_deadline_s) + SOCKET_TOLERANCE_S - time.monotonic())
+        scheduler.process.kill()
+        await asyncio.wait(sending)
+        for _, writer in connections:
+            writer.close()
+        assert all(request.completed_at for request in requests)
+        assert all(request.status for request in requests), requests
+
+    play(site.play(scenario), TEST_TIMEOUT_S)
+
+
 # Guards against refusing a request unsent because it took longer to write than its client waits for the answer.
 @pytest.mark.parametrize("piece_count", [8, 150])
 @pytest.mark.parametrize("effect", ["at_most_once", "idempotent"])
