Soak of shutdown: clients that write slowly, and deadlines that SIGKILL does not wait for

Its clients write each request at once, and its longest deadline is 3 s, so what is taken ends before SIGKILL by itself.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,9 +1,9 @@
 """A soak test of shutdown: seeded runs in which clients use their connections until the earliest possible SIGKILL.
 
 Each run draws short deadlines, workers that hang, turn requests away or reset connections, a series of signals and
-sometimes a crowd of idle clients.  It starts one scheduler, or two that exchange messages, and shuts one of them
-down twice.  Violations of the protocol page are reported with the request's id.  To run it manually:
-``python -m tests.soak --seeds 50``.
+sometimes a crowd of idle clients, and on demand clients that write slowly.  It starts one scheduler, or two that
+exchange messages, and shuts one of them down twice.  Violations of the protocol page are reported with the
+request's id.  To run it manually: ``python -m tests.soak --seeds 50``, also with ``--slow-writers``.
 """
 
 from __future__ import annotations
@@ -16,9 +16,9 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -38,6 +38,11 @@
 KILL_MARGIN_S = 0.7
 DEADLINE_MAX_S = 3.0  # a longer deadline does not delay SIGKILL further
 ATTEMPTS_MAX = 3
+SLOW_WRITING_S = (0.3, 2.0)  # a slow client takes this long to write a request; the page names 2 s
+SLOW_PIECES = 6
+SLOW_WRITERS = 8
+LATE_WORTH = 0.3  # of an answer after the latency target, in runs with slow writers
+LONG_DEADLINE_S = 8.0  # beyond what delays SIGKILL
 CLIENTS = 14
 CROWD = 150
 CROWDED_DESCRIPTORS = 192
@@ -57,6 +62,7 @@
     pair: bool  # two schedulers that exchange messages
     crowd: bool
     signals: tuple[tuple[signal.Signals, float], ...]  # each with the pause before it, s
+    slow_writers: int = 0  # clients that write each request in pieces, on a new connection
 
     @classmethod
     def draw(cls, seed: int) -> Plan:
@@ -68,6 +74,13 @@
                    rng.random() < 0.4, rng.random() < 0.25,
                    tuple((s, rng.choice([0.0, 0.02, 0.2])) for s in series))
 
+    @classmethod
+    def draw_with_slow_writers(cls, seed: int) -> Plan:
+        """The plan of a seed with slow writers; odd seeds have a deadline that SIGKILL does not wait for."""
+        plan = cls.draw(seed)
+        return replace(plan, slow_writers=SLOW_WRITERS,
+                       deadline_s=LONG_DEADLINE_S if seed % 2 else plan.deadline_s)
+
 
 @dataclass
 class Request:
@@ -158,6 +171,43 @@
                     writer.transport.abort()
             await asyncio.sleep(0.02)
 
+    async def slow_writer(self, port: int) -> None:
+        """Write one request after another in pieces, each on a new connection, until shortly after SIGTERM."""
+        while not self.sigterm_at or time.monotonic() < self.sigterm_at + NEW_CONNECTIONS_S:
+            with suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                try:
+                    await self._write_slowly(reader, writer)
+                finally:
+                    writer.transport.abort()
+            await asyncio.sleep(0.02)
+
+    async def _write_slowly(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Write one request in pieces and read its answer; it was sent when its last piece was."""
+        request = Request(f"s{self.plan.seed}-{next(self.serial)}", self.rng.choice(list(EFFECTS)), 0.0,
+                          self.plan.deadline_s)
+        data = self._bytes(request)
+        pause_s = self.rng.uniform(*SLOW_WRITING_S) / (SLOW_PIECES - 1)
+        cuts = [len(data) * i // SLOW_PIECES for i in range(SLOW_PIECES + 1)]
+        for i, (start, end) in enumerate(itertools.pairwise(cuts)):
+            if i:
+                await asyncio.sleep(pause_s)
+            if reader.at_eof():
+                self.counts["closed while writing"] += 1
+                return
+            request.sent_at = time.monotonic()
+            writer.write(data[start:end])
+        self.sent.append(request)
+        self.counts["written slowly"] += 1
+        self.counts["written slowly, whole late after SIGTERM"] += (
+            0.0 < self.sigterm_at < request.sent_at - KILL_MARGIN_S)
+        try:
+            request.status, _ = await self._read_answer(reader)
+            request.ended_at = time.monotonic()
+        except (OSError, asyncio.IncompleteReadError):
+            request.ended_at = time.monotonic()
+            raise
+
     async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Send one request, or two pipelined, and read the answers; whether the connection stays open.
 
@@ -247,8 +297,10 @@
 
     def _processes(self, agent: Discovery) -> list[Process]:
         peers = [f"127.0.0.1:{free_port()}" for _ in range(2 if self.plan.pair else 1)]
-        grades = [{"name": name, "slo": 300.0, "deadline": self.plan.deadline_s * 1e3, "idempotency": effect}
-                  for name, effect in EFFECTS.items()]
+        # Where late answers are worth nothing, most late requests would be refused before an attempt.
+        late_worth = {"lateWorth": LATE_WORTH} if self.plan.slow_writers else {}
+        grades = [{"name": name, "slo": 300.0, "deadline": self.plan.deadline_s * 1e3, "idempotency": effect,
+                   **late_worth} for name, effect in EFFECTS.items()]
         limits = {**SETTINGS["limits"], "mostTries": ATTEMPTS_MAX, "secondCopies": self.plan.copies,
                   "cancel": True, "peerMessages": self.plan.pair}
         settings = {**SETTINGS, "grades": grades, "limits": limits, "balancers": len(peers)}
@@ -264,6 +316,7 @@
         tasks = [asyncio.create_task(self.client(scheduler.listen)) for _ in range(CLIENTS)]
         if self.plan.crowd:
             tasks += [asyncio.create_task(self.crowd(scheduler.listen)) for _ in range(CROWD)]
+        tasks += [asyncio.create_task(self.slow_writer(scheduler.listen)) for _ in range(self.plan.slow_writers)]
         await asyncio.sleep(0.6)
         agent_order = itertools.cycle(reversed(agents))
         for signal_number, pause_s in self.plan.signals:
@@ -337,14 +390,14 @@
                 yield f"begun {seen.attempt.first_byte_at - request.left_at:.3f} s after its client left"
 
 
-async def soak(seeds: list[int], together: int) -> list[Soak]:
-    """Run seeds, ``together`` at a time."""
+async def soak(seeds: list[int], together: int, draw: Callable[[int], Plan] = Plan.draw) -> list[Soak]:
+    """Run the plans drawn from seeds, ``together`` at a time."""
     runs: list[Soak] = []
     room = asyncio.Semaphore(together)
 
     async def run_seed(seed: int, folder: Path) -> None:
         async with room:
-            runs.append(await Soak(Plan.draw(seed), folder).run())
+            runs.append(await Soak(draw(seed), folder).run())
 
     with tempfile.TemporaryDirectory(prefix="gaphub-soak-") as home:
         folders = [Path(home) / str(seed) for seed in seeds]
@@ -358,12 +411,14 @@
 @click.option("--seeds", default=50, help="How many runs.")
 @click.option("--first", default=1, help="The first seed.")
 @click.option("--together", default=3, help="How many runs at a time.")
-def main(seeds: int, first: int, together: int) -> None:
+@click.option("--slow-writers", is_flag=True, help="With clients that write slowly, and long deadlines.")
+def main(seeds: int, first: int, together: int, slow_writers: bool) -> None:
     """Run the long soak test and print the violations."""
     runs: list[Soak] = []
 
     async def run_all() -> None:
-        runs.extend(await soak(list(range(first, first + seeds)), together))
+        draw = Plan.draw_with_slow_writers if slow_writers else Plan.draw
+        runs.extend(await soak(list(range(first, first + seeds)), together, draw))
 
     play(run_all(), WITHIN_S * seeds)
     for run in sorted(runs, key=lambda run: run.plan.seed):
