--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -119,6 +119,32 @@
     play(Site(tmp_path, kill_after_s, grades=classes).play(scenario), TEST_TIMEOUT_S)
 
 
+# Guards against the same where the beginning of the request lay behind another one, which was answered meanwhile.
+def test_a_request_begun_behind_another_before_sigterm_is_answered_by_sigkill(tmp_path: Path) -> None:
+    deadline_s, first_work_s, rest_after_s = 20.0, 0.6, 1.4
+    site = Site(tmp_path, first_work_s, grades=[job_class("at_most_once", 1.2, deadline_s, late_worth=0.3)])
+    first, second = (SlowRequest(ident, deadline_s, 0.0) for ident in ("first", "second"))
+
+    async def scenario(scheduler: Process) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", scheduler.listen)
+        pieces = second.pieces()
+        writer.write(b"".join(first.pieces()) + pieces[0])
+        await asyncio.sleep(0.1)
+        scheduler.process.send_signal(signal.SIGTERM)
+        sigterm_at = time.monotonic()
+        assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+        site.work_s = earliest_kill_s(deadline_s)
+        await asyncio.sleep(sigterm_at + rest_after_s - time.monotonic())
+        writer.write(b"".join(pieces[1:]))
+        kill_at = sigterm_at + earliest_kill_s(deadline_s) + SOCKET_TOLERANCE_S
+        async with asyncio.timeout(kill_at - time.monotonic()):
+            head = await reader.readuntil(b"HTTP/1.1 ") + await reader.readuntil(b"\r\n\r\n")
+        assert head, "closed with no answer"
+        writer.close()
+
+    play(site.play(scenario), TEST_TIMEOUT_S)
+
+
 # Guards against refusing jobs that can still be served before SIGKILL, by the time that they usually take.
 @pytest.mark.parametrize("late_worth", [0.0, 0.3])
 @pytest.mark.parametrize("effect", ["at_most_once", "idempotent"])
