HTTP front: the usual response time is worked out only after SIGTERM

Cause: found on reading the change again. Each request asked the balancer for the usual response time of its class and passed through the drain's rules, which let everything pass before SIGTERM.

Change: before SIGTERM a job is admitted at once. No decision is changed.

--- a/gaphub/net/http/handler.py
+++ b/gaphub/net/http/handler.py
@@ -232,14 +232,16 @@
 
     def _admit(self, job: Job, request: ReceivedRequest) -> bool:
         """Whether a job may still start; logged while this process shuts down."""
+        class_settings = self.core.settings.classes[job.class_index]
+        if not self.drain.began:
+            return True
         now = self.core.clock.now()
-        admitted = self.drain.admit(job, request, self.core.settings.classes[job.class_index],
-                                    self.core.usual_response_ms(job.class_index), now)
+        usual_ms = self.core.usual_response_ms(job.class_index)
+        admitted = self.drain.admit(job, request, class_settings, usual_ms, now)
         if admitted and self.drain.must_answer(request):
             self._owed_jobs[job.ident] = job
-        if self.drain.began:
-            self.counters.log("drain.admitted" if admitted else "drain.refused",
-                              self.drain.describe(job, request, now))
+        self.counters.log("drain.admitted" if admitted else "drain.refused",
+                          self.drain.describe(job, request, now))
         return admitted
 
     async def shorten_open_jobs(self) -> None:
