--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,6 +20,7 @@
 import time
 from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -76,6 +77,12 @@
     return loop
 
 
+def cut(data: bytes, count: int) -> list[bytes]:
+    """Cut data into pieces of about the same size."""
+    ends = [len(data) * i // count for i in range(count + 1)]
+    return [data[start:end] for start, end in pairwise(ends)]
+
+
 # --- workers -------------------------------------------------------------------------------------------
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,7 @@
 
 import click
 
-from .fleet import Attempt, Discovery, Worker, WorkerConnection, entry, play
+from .fleet import Attempt, Discovery, Worker, WorkerConnection, cut, entry, play
 from .processes import Process, running
 from .scenario import SETTINGS, free_port
 
@@ -188,15 +188,14 @@
                           self.plan.deadline_s)
         data = self._bytes(request)
         pause_s = self.rng.uniform(*SLOW_WRITING_S) / (SLOW_PIECES - 1)
-        cuts = [len(data) * i // SLOW_PIECES for i in range(SLOW_PIECES + 1)]
-        for i, (start, end) in enumerate(itertools.pairwise(cuts)):
+        for i, piece in enumerate(cut(data, SLOW_PIECES)):
             if i:
                 await asyncio.sleep(pause_s)
             if reader.at_eof():
                 self.counts["closed while writing"] += 1
                 return
             request.sent_at = time.monotonic()
-            writer.write(data[start:end])
+            writer.write(piece)
         self.sent.append(request)
         self.counts["written slowly"] += 1
         self.counts["written slowly, whole late after SIGTERM"] += (
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -12,18 +12,16 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass
-from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from .fleet import play
+from .fleet import cut, play
 from .processes import Process
+from .soak import DEADLINE_MAX_S, KILL_MARGIN_S
 from .test_shutdown_limits import Site
 
-KILL_MARGIN_S = 0.7  # between the longest deadline and the earliest SIGKILL
-MAX_DEADLINE_S = 3.0  # a longer deadline does not delay SIGKILL further
 SOCKET_TOLERANCE_S = 0.05  # the page's tolerance on real sockets
 TOLD_TOLERANCE_S = 0.15  # by which an attempt may tell its worker more than what the client has left
 CLIENTS = 6
@@ -52,8 +50,7 @@
         """The request, cut into pieces."""
         data = (f"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: {self.ident}\r\nX-Priority-Class: poloha\r\n"
                 f"X-Timeout: {self.deadline_s * 1e3:.0f}m\r\nContent-Length: 40\r\n\r\n{'b' * 40}").encode()
-        cuts = [len(data) * i // self.piece_count for i in range(self.piece_count + 1)]
-        return [data[start:end] for start, end in pairwise(cuts)]
+        return cut(data, self.piece_count)
 
     async def send(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Write the request on an open connection and read its answer."""
@@ -86,7 +83,7 @@
 
 def earliest_kill_s(deadline_s: float) -> float:
     """Time from SIGTERM to the earliest SIGKILL."""
-    return min(deadline_s, MAX_DEADLINE_S) + KILL_MARGIN_S
+    return min(deadline_s, DEADLINE_MAX_S) + KILL_MARGIN_S
 
 
 # Guards against requests that began before SIGTERM and were whole long after it, and had no answer at SIGKILL: the
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import re
 import signal
 import time
@@ -17,7 +16,7 @@
 
 import pytest
 
-from .fleet import play
+from .fleet import cut, play
 from .processes import Process
 from .test_shutdown_limits import Site, read_until_closed, request
 
@@ -54,13 +53,12 @@
     began = time.monotonic()
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     data = request(ident, 5000.0)
-    cuts = [len(data) * i // PIECES for i in range(PIECES + 1)]
     got, written_s = b"", float("inf")
     with suppress(OSError):
-        for i, (start, end) in enumerate(itertools.pairwise(cuts[:pieces + 1])):
+        for i, piece in enumerate(cut(data, PIECES)[:pieces]):
             if i:
                 await asyncio.sleep(WRITE_S / (PIECES - 1) + (paused_s if i == PIECES // 2 else 0.0))
-            writer.write(data[start:end])
+            writer.write(piece)
         written_s = time.monotonic() - began
         got = await reader.read(65536)
     writer.close()
