--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,16 +25,8 @@
     workers = [s.HttpWorker(f"s-{i}", record, 0.2, on_run) for i in range(3)]
     for worker in workers:
         await worker.open()
-    agent = s.Agent([worker.entry() for worker in workers])
-    await agent.open()
-    port = s.free_port()
-    scheduler = s.Scheduler(folder, "n0", agent.port, record, {"settings": s.settings()},
-                            f'[gearman]\nlisten = "127.0.0.1:{port}"\nhold_after_start = false\n'
-                            '[gearman.functions]\npoloha = "poloha"\n')
-    schedulers.append(scheduler)
-    scheduler.start()
-    await scheduler.ready()
-    await asyncio.sleep(1.0)
+    scheduler, port = await s.start(folder, record, schedulers, [worker.entry() for worker in workers],
+                                    s.settings(), ["poloha"])
     # The new configuration: the class `poloha` has another effect.
     grades = [{**s.GRADES[0], "idempotency": "at_most_once"}, *s.GRADES[1:]]
     scheduler.config["settings"] = s.settings(grades)
@@ -46,17 +38,7 @@
     if counters.get("reloads.done") != 1:
         raise RuntimeError("the new configuration was not taken")
     for i in range(JOBS):
-        client = s.Gearman()
-        await client.open(port)
-        body = f"gearman-{i}".encode()
-        client.send(s.SUBMIT_JOB, b"poloha", body, body)
-        while True:
-            kind, arguments = await client.receive()
-            record.add(f"client: SUBMIT_JOB poloha {body.decode()}: {s.NAMES.get(kind, kind)} "
-                       f"{b' '.join(arguments).decode()}")
-            if kind != s.JOB_CREATED:
-                break
-        client.close()
+        await s.submit(port, "poloha", f"gearman-{i}", record)
     # For comparison: the same over HTTP.
     status, text = await s.http(scheduler.listen, "POST", "/api", {
         "X-Request-ID": "5f3b0c9d1e7a8642", "X-Priority-Class": "poloha", "X-Timeout": "5000m"}, "http-0")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,15 +16,7 @@
 
 async def case(folder: Path, record: s.Record, schedulers: list[s.Scheduler]) -> bool:
     """Whether each accepted job was run."""
-    agent = s.Agent([])
-    await agent.open()
-    port = s.free_port()
-    scheduler = s.Scheduler(folder, "n0", agent.port, record, {"settings": s.settings()},
-                            f'[gearman]\nlisten = "127.0.0.1:{port}"\nhold_after_start = false\n'
-                            '[gearman.functions]\nudalost = "udalost"\n')
-    schedulers.append(scheduler)
-    scheduler.start()
-    await scheduler.ready()
+    _, port = await s.start(folder, record, schedulers, [], s.settings(), ["udalost"])
     workers = [s.GearmanWorker(f"worker-{i}", [b"udalost"], record, WORK_S) for i in range(WORKERS)]
     tasks = [asyncio.create_task(worker.run(port)) for worker in workers]
     await asyncio.sleep(1.0)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -24,7 +24,7 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-HELD, BROKEN, NOT_RUN = 0, 10, 2  # exit statuses of a case; its run.sh turns 10 into 1 and any other into 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # exit statuses of a case; play-2.sh turns 10 into 1 and any other into 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 115.0  # of a whole case
 
@@ -339,6 +339,46 @@
             self.process.wait()
 
 
+async def start(folder: Path, record: Record, schedulers: list[Scheduler], servers: list[dict[str, Any]],
+                site: dict[str, Any], functions: list[str]) -> tuple[Scheduler, int]:
+    """Start discovery with these workers, and one scheduler whose Gearman front has these functions.
+
+    Each function is named as its class; with none the front is off. The scheduler, and the port of its front.
+    """
+    agent = Agent(servers)
+    await agent.open()
+    port = free_port()
+    # It has no former life, for which `hold_after_start` would refuse jobs with a unique for two minutes.
+    fronts = (f'[gearman]\nlisten = "127.0.0.1:{port}"\nhold_after_start = false\n[gearman.functions]\n'
+              + "".join(f'{name} = "{name}"\n' for name in functions)) if functions else '[gearman]\nlisten = ""\n'
+    scheduler = Scheduler(folder, "n0", agent.port, record, {"settings": site}, fronts)
+    schedulers.append(scheduler)
+    scheduler.start()
+    await scheduler.ready()
+    await asyncio.sleep(1.0)
+    return scheduler, port
+
+
+async def submit(port: int, function: str, name: str, record: Record) -> bytes | None:
+    """Submit a job, named by its unique and workload, in the foreground; its result, None if it has none.
+
+    Parts of the result (WORK_DATA) and what comes with WORK_COMPLETE are put together.
+    """
+    client = Gearman()
+    await client.open(port)
+    client.send(SUBMIT_JOB, function.encode(), name.encode(), name.encode())
+    result = b""
+    while True:
+        kind, arguments = await client.receive()
+        record.add(f"client: SUBMIT_JOB {function} {name}: {NAMES.get(kind, kind)} "
+                   f"{b' '.join(arguments[1:]).decode()}")
+        if kind == WORK_DATA:
+            result += arguments[1]
+        elif kind in (WORK_COMPLETE, WORK_FAIL, ERROR):
+            client.close()
+            return result + arguments[1] if kind == WORK_COMPLETE else None
+
+
 async def http(port: int, method: str, target: str, headers: dict[str, str] | None = None,
                body: str = "") -> tuple[int, str]:
     """One HTTP call on a new connection: status and body; status 0 if the connection ends without an answer."""
