--- a/gaphub/__main__.py
+++ b/gaphub/__main__.py
@@ -89,7 +89,7 @@
                 continue
             self._counters.add("reloads.done")
             core.job_stats.reload_success += 1
-            core.apply_settings(new.settings, new.class_names, keep_rows=bool(new.fronts.gearman.listen))
+            core.apply_settings(new.settings, new.class_names)
             pending = [key for key in STARTUP_ONLY if getattr(new, key) != getattr(self.config, key)]
             if _startup_settings(new.settings) != _startup_settings(self.config.settings):
                 pending.append("settings")
@@ -186,6 +186,7 @@
     ops = None if config.admin is None else create_ops(config.admin, config, core, counters, shared_files, inbound,
                                                        discovery_client)
     core.ports = {discovery.SOURCE: outbound, gearman.SOURCE: gearman_front}
+    core.class_index_users.append(gearman_front)
     core.list_port = discovery_client
     core.peer_port = peers
     discovery_client.publish_cached()
--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -30,6 +30,7 @@
     Answer,
     Call,
     CallPort,
+    ClassIndexUser,
     Destination,
     FinalStatus,
     Job,
@@ -67,6 +68,7 @@
         self.ports: dict[str, CallPort] = {}
         self.list_port: ListPort | None = None
         self.peer_port: PeerPort | None = None
+        self.class_index_users: list[ClassIndexUser] = []
         self.log_request: Callable[[str], None] | None = None  # gets one line per finished request
         self._mailbox: asyncio.Queue[Callable[[], None]] = asyncio.Queue(MAILBOX_SIZE)
         self._deferred: deque[Callable[[], None]] = deque()  # run once the current call on the Balancer returns
@@ -120,18 +122,18 @@
         """Class names by class index, including classes that a reload has removed."""
         return self.class_table.names
 
-    def apply_settings(self, settings: Settings, names: Sequence[str], keep_rows: bool = False) -> None:
-        """Apply new settings; open jobs keep the class rules under which they were accepted.
-
-        ``keep_rows``: never reuse a class index, because a front end stores class indexes as well.
-        """
-        busy_rows = (set(range(len(self.class_table.rows))) if keep_rows
-                     else {j.class_index for j in self._jobs.values()})
+    def apply_settings(self, settings: Settings, names: Sequence[str]) -> None:
+        """Apply new settings; open jobs keep the class rules under which they were accepted."""
+        busy_rows = {j.class_index for j in self._jobs.values()}
+        for user in self.class_index_users:
+            busy_rows |= user.class_indexes_in_use()
         self.class_table, new_rows = updated_table(self.class_table, settings.classes, names, busy_rows)
         self.settings = effective_settings(self.settings, settings, self.class_table)
         self.job_stats.add_classes(names)
         self.destinations.classes_changed()
         self.balancer.on_settings(self.settings, new_rows)
+        for user in self.class_index_users:
+            self._run_guarded(user.on_classes_changed)
 
     @property
     def unanswered_jobs(self) -> int:
@@ -211,7 +213,7 @@
         self._serial += 1
         job.number = self._serial
         self._jobs[job.number] = job
-        job.max_calls = self.settings.max_attempts
+        job.max_calls = job.max_calls or self.settings.max_attempts
         if job.deadline - now <= WATCHDOG_MARGIN_MS:
             self._answer(job, self.refusal())
             self._release_if_done(job)
--- a/gaphub/messages.py
+++ b/gaphub/messages.py
@@ -87,7 +87,7 @@
     client_left_at: Callable[[], float] | None = None  # when the client disconnected; 0: still connected
     number: int = 0  # assigned by the core; the Balancer's request id
     deadline: float = 0.0
-    max_calls: int = 0  # ``max_attempts`` of the settings in force on acceptance
+    max_calls: int = 0  # ``max_attempts`` of the settings in force on acceptance; 0: the core accepts it first
     answered: bool = False
     give_up_reason: str = ""  # ":" and the reason, where the Balancer gave up
     final_status: str = "gone"  # for the request log: the final status and ``give_up_reason``
@@ -190,6 +190,16 @@
         """Drop the idle connections to a destination that is gone, has moved or was restarted."""
 
 
+class ClassIndexUser(Protocol):
+    """A front end that holds jobs, and with them class indexes, before it offers them to the core."""
+
+    def class_indexes_in_use(self) -> set[int]:
+        """The class indexes of its jobs: a reload must not give them to other classes."""
+
+    def on_classes_changed(self) -> None:
+        """A reload has changed the class table; called before the core handles anything else."""
+
+
 class ListPort(Protocol):
     """Requests worker lists from discovery."""
 
--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -116,8 +116,8 @@
         self.store = store
         self.config = config.fronts.gearman
         self.address = config.fronts.gearman_address()
-        self.functions = FunctionClasses(self.config.functions, self.config.default_class, config.class_names,
-                                         store, core.clock)
+        self.functions = FunctionClasses(self.config.functions, self.config.default_class,
+                                         lambda: core.class_table, store, core.clock)
         self.own_index = config.settings.me
         self.scheduler_count = config.settings.balancers
         self.max_sessions = int(config.limits.sockets * SOCKET_SHARE)
@@ -134,9 +134,7 @@
         self._sessions: dict[asyncio.Task[None], Session] = {}
         self._workers: dict[str, Session] = {}
         self._submissions = SubmissionTable(memory)
-        self._results = ResultCache(
-            self.config.ends_most, self.config.ends_bytes, memory,
-            lambda function: not self._is_at_most_once(self.functions.class_of(function) or 0))
+        self._results = ResultCache(self.config.ends_most, self.config.ends_bytes, memory)
         self.queues = Queues(QueueLimits(self.config.queue_most, self.config.queue_function_most,
                                          self.config.queue_client_most, self.config.queue_bytes))
         self.schedule = Schedule(self.config.schedule_most)
@@ -347,9 +345,8 @@
             self._mark_started(submission)
             await self.core.post(partial(self.core.client_gone, submission.job))
         session.awaited_jobs.clear()
-        if session.listed_as is not None:
-            self._workers.pop(session.name, None)
-            await self._list_worker(session, WorkerState.GONE, 0)
+        self._workers.pop(session.name, None)
+        await self._list_worker(session)
         queued, session.queued_calls = session.queued_calls, []
         for _, _, _, call in queued:
             await self.core.post(partial(self.core.call_ended, call, Outcome(Status.CONNECT_FAILED)))
@@ -451,7 +448,7 @@
         job = Job(f"{self._random.getrandbits(64):016x}", class_index, now,
                   self.core.settings.classes[class_index].deadline_ms, partial(self._on_answer, submission),
                   workload, on_update=partial(self._forward_update, submission), front_context=submission,
-                  fence=self.fence)
+                  fence=self.fence, max_calls=self.core.settings.max_attempts)
         job.client_left_at = lambda: submission.client_left_at(self.core.clock.now())
         submission.job = job
         if due is None:
@@ -619,7 +616,7 @@
             if answer.final_status is FinalStatus.SERVED or (
                     answer.final_status is FinalStatus.FAILED and at_most_once):
                 self._results.put(key, JobResult(submission.handle, answer.final_status, answer.body,
-                                                 now + self.config.keep_s * 1000.0))
+                                                 now + self.config.keep_s * 1000.0, not at_most_once))
                 if at_most_once:
                     self.store.put(_claim_key(key), answer.final_status.value.encode(), now,
                                    self.config.keep_s * 1000.0)
@@ -648,29 +645,73 @@
             timeout_s = float(arguments[1]) if kind == CAN_DO_TIMEOUT else 0.0
             if len(session.abilities) >= MAX_ABILITIES or not session.add_ability(arguments[0], timeout_s):
                 raise PacketError("too_many", "too many functions")
-        class_mask = 0
-        for function in session.abilities:
-            class_index = self.functions.class_of(function)
-            if class_index is not None:
-                class_mask |= 1 << class_index
         self._workers[session.name] = session
-        await self._list_worker(session, WorkerState.READY if class_mask else WorkerState.DRAINING, class_mask)
-        kept_calls = [q for q in session.queued_calls if class_mask >> q[3].job.class_index & 1]
-        dropped_calls = [q for q in session.queued_calls if q not in kept_calls]
-        session.queued_calls = kept_calls
-        heapify(session.queued_calls)
-        for _, _, _, call in dropped_calls:  # the worker no longer offers their functions: they never ran
+        dropped_calls = self._remove_unable_calls(session, self.functions.class_mask(session.abilities))
+        await self._list_worker(session)
+        for call in dropped_calls:
             await self.core.post(partial(self.core.call_ended, call, Outcome(Status.FULL)))
 
-    async def _list_worker(self, session: Session, state: WorkerState, class_mask: int) -> None:
-        if session.listed_as == (state, class_mask) or (session.listed_as is None and state != WorkerState.READY):
+    @staticmethod
+    def _remove_unable_calls(session: Session, class_mask: int) -> list[Call]:
+        """Remove the queued calls of classes that a worker no longer offers; they never ran."""
+        kept = [q for q in session.queued_calls if class_mask >> q[3].job.class_index & 1]
+        removed = [q[3] for q in session.queued_calls if not class_mask >> q[3].job.class_index & 1]
+        session.queued_calls = kept
+        heapify(session.queued_calls)
+        return removed
+
+    def _listing_of(self, session: Session) -> tuple[WorkerState, int]:
+        """The state and class mask with which a worker is to be listed now."""
+        if self._workers.get(session.name) is not session:
+            return WorkerState.GONE, 0
+        class_mask = self.functions.class_mask(session.abilities)
+        return WorkerState.READY if class_mask else WorkerState.DRAINING, class_mask
+
+    def _needs_listing(self, session: Session) -> bool:
+        """Whether the core is to be told of a worker; one that never could run a job is not listed."""
+        listing = self._listing_of(session)
+        if session.listed_as is None:
+            return listing[0] == WorkerState.READY
+        return session.listed_as != listing
+
+    async def _list_worker(self, session: Session) -> None:
+        if not self._needs_listing(session):
             return
-        session.listed_as = (state, class_mask)
+        session.listed_as = self._listing_of(session)
+        await self.core.post(partial(self._update_listed_worker, session))
+        await self.core.post(self._dispatch)
+
+    def _update_listed_worker(self, session: Session) -> None:
+        """Tell the core how a worker is listed; runs in the core's task.
+
+        The listing is computed anew, as a reload may have come after the message was posted.
+        """
+        state, class_mask = session.listed_as = self._listing_of(session)
         kinds = [c.kind for i, c in enumerate(self.core.settings.classes) if class_mask >> i & 1 and c.kind >= 0]
         entry = ListedDestination(session.name, session.name, state, kind=kinds[0] if kinds else 0,
                                   zone=self.core.settings.zone, class_mask=class_mask)
-        await self.core.post(partial(self.core.update_destinations, SOURCE, ListKind.CHANGES, [entry]))
-        await self.core.post(self._dispatch)
+        self.core.update_destinations(SOURCE, ListKind.CHANGES, [entry])
+
+    def _update_listed_workers(self) -> None:
+        """List all workers anew, as the classes of their functions may have changed."""
+        for session in list(self._workers.values()):
+            if not self._needs_listing(session):
+                continue
+            self._update_listed_worker(session)
+            for call in self._remove_unable_calls(session, self.functions.class_mask(session.abilities)):
+                self.core.call_ended(call, Outcome(Status.FULL))
+
+    # -- ClassIndexUser of the core --
+
+    def class_indexes_in_use(self) -> set[int]:
+        """The class indexes of all accepted jobs, queued and scheduled ones included."""
+        return {s.job.class_index for s in self._submissions.by_handle.values() if s.job is not None}
+
+    def on_classes_changed(self) -> None:
+        """A reload has changed the class table: jobs that come from now on get the new rules."""
+        self._dispatched += [0] * (len(self.core.class_names) - len(self._dispatched))
+        self._update_listed_workers()
+        self._dispatch()
 
     def _wake_worker(self, session: Session) -> None:
         if session.asleep and session.queued_calls:
@@ -718,7 +759,8 @@
         """The submitted function if this worker can do it, else another one of the class."""
         if submission is not None and submission.function in session.abilities:
             return submission.function
-        return next((f for f in session.abilities if self.functions.class_of(f) == class_index), b"")
+        class_name = self.core.class_names[class_index]
+        return next((f for f in session.abilities if self.functions.class_name_of(f) == class_name), b"")
 
     def _assignment_for(self, session: Session, handle: bytes) -> Assignment:
         assignment = session.assignments.get(handle)
--- a/gaphub/net/gearman/results.py
+++ b/gaphub/net/gearman/results.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from ...messages import FinalStatus
@@ -24,22 +23,18 @@
     final_status: FinalStatus
     body: bytes | None
     expires_at: float
+    may_repeat: bool  # by the rules under which the job was accepted; the result may be dropped early
     charged_bytes: int = 0  # memory that is accounted for it
 
 
 class ResultCache:
     """The results of jobs by function and unique, oldest first."""
 
-    def __init__(self, max_results: int, max_bytes: int, memory: MemoryBudget,
-                 may_repeat: Callable[[bytes], bool]) -> None:
-        """``memory`` is charged with the results.
-
-        ``may_repeat``: whether jobs of a function may run twice, so that their results may be dropped early.
-        """
+    def __init__(self, max_results: int, max_bytes: int, memory: MemoryBudget) -> None:
+        """``memory`` is charged with the results."""
         self._memory = memory
         self.max_results = max_results
         self.max_bytes = max_bytes
-        self.may_repeat = may_repeat
         self._results: OrderedDict[Key, JobResult] = OrderedDict()
         self._bytes = 0
 
@@ -72,8 +67,8 @@
                 if self._bytes <= self.max_bytes * 0.9 and self._memory.free >= 0:
                     break
         if len(self._results) > self.max_results or self._memory.free < 0:
-            for key in self._results:
-                if self.may_repeat(key[0]):
+            for key, result in self._results.items():
+                if result.may_repeat:
                     self._remove(key)
                     break
 
