Workers that were connected before a function was created get its jobs

Seen by callers: a worker that registered a function before 'create function' gave it a class was never listed for it, and jobs of it waited until it connected anew.

Measured: test_a_function_of_a_class_that_a_reload_added_runs_on_a_connected_worker failed before and passes.

--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -118,6 +118,7 @@
         self.address = config.fronts.gearman_address()
         self.functions = FunctionClasses(self.config.functions, self.config.default_class,
                                          lambda: core.class_table, store, core.clock)
+        self._config_changes_seen = store.config_changes
         self.own_index = config.settings.me
         self.scheduler_count = config.settings.balancers
         self.max_sessions = int(config.limits.sockets * SOCKET_SHARE)
@@ -209,6 +210,9 @@
                     await self._check_now.wait()
             self._check_now.clear()
             self._enqueue_due()
+            if self.store.config_changes != self._config_changes_seen:
+                self._config_changes_seen = self.store.config_changes
+                await self.core.post(self._update_listed_workers)
             await self.core.post(self._dispatch)
             now = self.core.clock.now()
             self._results.expire(now)
--- a/gaphub/store.py
+++ b/gaphub/store.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 MAGIC = b"gh1"
+CONFIG_PREFIX = "config/"  # of the keys of configuration entries
 MAX_DATAGRAM_BYTES = 256  # longer datagrams are neither sent nor accepted
 MAX_KEY_BYTES = 96
 MAX_VALUE_BYTES = 100
@@ -53,6 +54,7 @@
     def __init__(self, node: int, max_entries: int = 20_000) -> None:
         self.node = node
         self.max_entries = max_entries
+        self.config_changes = 0  # how often an entry of the configuration was written, here or by a peer
         self._entries: dict[str, Entry] = {}
         self._bucket_hashes = [0] * BUCKETS
         self._last_stamp = 0
@@ -102,6 +104,7 @@
             return False
         self._remove(key)
         self._entries[key] = entry
+        self.config_changes += key.startswith(CONFIG_PREFIX)
         if entry.expires_ms:
             heappush(self._expiry_heap, (entry.expires_ms, entry.stamp, key))
         self._bucket_hashes[_bucket(key)] ^= _entry_hash(key, entry)
--- a/tests/test_gearman_reload.py
+++ b/tests/test_gearman_reload.py
@@ -122,6 +122,21 @@
     """, fronts=FRONTS.replace('pos = "poloha"', ""))
 
 
+# Guards against a ``create function`` that knew only the classes of the start, and workers that were connected
+# before it and never listed for the new function.
+def test_a_function_of_a_class_that_a_reload_added_runs_on_a_connected_worker() -> None:
+    added = {**CLASSES[1], "name": "dobropis"}
+    play_reload("g send 1 credit\ng send 4\ng send 16 x\ng expect #17", [*CLASSES, added], f"""
+        a send create function credit dobropis\\n
+        a expect OK
+        g2 send 7 credit|u1|load
+        g2 expect #8
+        {GRAB.format("g", "credit", "load")}
+        g close
+        g2 expect #14
+    """)
+
+
 # Guards against a class table in which, with Gearman on, every reload added a row that no later one took over.
 def test_rows_are_reused_once_no_gearman_job_has_them(cores: list[Core]) -> None:
     async def run() -> None:
