A reload leaves jobs that were accepted before their value

Seen by callers: jobs of a class that a reload changed, accepted before and still open or waiting, counted as worth nothing and were shed first; 'jobs already open keep the old rules'.

Change: the row is marked as retired and keeps its rules; a retired row counts for its own jobs alone.

Measured: test_a_job_accepted_before_a_reload_keeps_its_value (the share of the best class was 0.0 by the old table) passes; the decisions without a reload are unchanged.

--- a/gaphub/interface.py
+++ b/gaphub/interface.py
@@ -104,6 +104,7 @@
     aim_stretch: float = 0.0
     kind: int = -1  # the only kind of worker that runs it; -1: any
     priority: int = 0
+    retired: bool = False  # by a reload: only jobs that were accepted before still have these rules
 
 
 @dataclass(frozen=True)
--- a/gaphub/logic.py
+++ b/gaphub/logic.py
@@ -604,22 +604,23 @@
             (SHED_WAIT + SHED_WAIT_VALUE_RANGE * self._relative_value(job)) * self._tightest_aim_ms(job))
         return "wait" if tier > 0 and self._expected_wait_ms(worker, job, now) > longest_wait_ms else ""
 
-    def _class_values(self) -> list[float]:
-        """What a unit of workers' time earns on each class."""
+    def _class_values(self, job: Job) -> list[float]:
+        """What a unit of workers' time earns on each class; 0 for retired ones but the job's own."""
+        worths = [0.0 if c.retired and row != job.class_index else c.worth
+                  for row, c in enumerate(self.settings.classes)]
         if self.settings.worth_by_work:
-            return [c.worth for c in self.settings.classes]
-        return [c.worth / exp(t.mean_log)
-                for c, t in zip(self.settings.classes, self.class_types, strict=True)]
+            return worths
+        return [worth / exp(t.mean_log) for worth, t in zip(worths, self.class_types, strict=True)]
 
     def _relative_value(self, job: Job) -> float:
         """What the job earns for the slots and time it takes, as a share of the best class's."""
-        values = self._class_values()
+        values = self._class_values(job)
         share = values[job.class_index] / (max(values) or 1.0)
         return share if self.settings.worth_by_work else share / max(1.0, job.slots)
 
     def _tightest_aim_ms(self, job: Job) -> float:
         """The shortest fixed part of an aim among classes of no less value, whose jobs may wait behind it."""
-        values = self._class_values()
+        values = self._class_values(job)
         return min(c.aim_ms for c, v in zip(self.settings.classes, values, strict=True)
                    if v >= values[job.class_index])
 
--- a/gaphub/ops/class_table.py
+++ b/gaphub/ops/class_table.py
@@ -1,7 +1,7 @@
 """The class table across reloads: it maps each class of the file in force to a row of the running scheduler.
 
 Pure.  A row never changes while a job that uses it is open: a class with changed rules gets another row, and the
-old one, with its worth set to 0, remains until its jobs have ended.  Rows without jobs are reused.
+old one, marked as retired, remains until its jobs have ended.  Rows without jobs are reused.
 """
 
 from __future__ import annotations
@@ -53,8 +53,7 @@
         active_rows[name] = row
         new_rows.append(row)
     active = set(active_rows.values())
-    rows = [rules if row in active else replace(rules, worth=0.0, late_worth=0.0)
-            for row, rules in enumerate(rows)]
+    rows = [rules if row in active else replace(rules, retired=True) for row, rules in enumerate(rows)]
     return ClassTable(tuple(rows), tuple(row_names), active_rows), new_rows
 
 
--- a/tests/test_gearman_reload.py
+++ b/tests/test_gearman_reload.py
@@ -9,7 +9,10 @@
 import pytest
 
 from gaphub.core import Core
+from gaphub.interface import ClassSettings, Effect
+from gaphub.ops.class_table import ClassTable, updated_table
 
+from .fake import World
 from .scenario import CLASSES, Harness
 
 FRONTS = """
@@ -152,3 +155,17 @@
             assert len(cores[0].class_names) == 10
 
     asyncio.run(run())
+
+
+# Guards against a reload that took the value of jobs accepted before, which were then shed first.
+@pytest.mark.parametrize("worth", [1.0, 10.0])
+def test_a_job_accepted_before_a_reload_keeps_its_value(worth: float) -> None:
+    old, new = (ClassSettings(500.0, 5000.0, worth, 0.3, effect) for effect in (Effect.SAFE, Effect.UNSAFE))
+    table, _ = updated_table(ClassTable((old,), ("p",), {"p": 0}), [new], ["p"], {0})
+    assert table.rows[0].retired and not table.rows[1].retired
+    assert (table.rows[0].worth, table.rows[0].late_worth) == (worth, 0.3)
+    world = World(classes=table.rows)
+    job = world.balancer.jobs[world.request(0)]
+    assert world.balancer._relative_value(job) == 1.0
+    job = world.balancer.jobs[world.request(1)]
+    assert world.balancer._class_values(job)[0] == 0.0  # a retired class does not count for others
