Background jobs that the policy gives up before they ran wait on

Cause: the front offers a job to the core once. What the policy then refuses (wait, strain, no worker, the deadline) is answered to the clients that wait; a background job has none and was forgotten. Each refusal drew the next job.

Ruled out: the job's life (an hour), full queues (all were accepted), a worker that lost a job (no JOB_ASSIGN).

Change: the core asks the front before it gives up a job that has not run; the front puts a background job back to its place, with its life and the attempts that are left. A window for each class (gaphub/gearman/backoff.py) bounds what is offered again, and background jobs have a lane of their own in the queue, so that a pause does not hold back foreground jobs. An operator's cancel, SIGTERM and the loss of the lease stay final. A life that ends without an attempt is logged. Why it works: a refusal tells of the moment, not of the job; the job stays queued until a worker has begun it or its life is over.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -48,6 +48,7 @@
 
 MAILBOX_SIZE = 4096  # messages; when it is full, requests are refused and all other senders wait
 MAX_CALLS_IN_FLIGHT = 2  # concurrent attempts of one request, where the settings allow second copies
+TAKEN_BACK = "taken-back"  # in the request log, the end of a job that its front end will offer again
 WATCHDOG_MARGIN_MS = 2.0  # before its deadline, a request that the Balancer left unanswered is answered
 
 
@@ -263,7 +264,7 @@
 
     def withdraw(self, job: Job) -> None:
         """Refuse a request at an operator's command, unless an attempt may have run; then it stays open."""
-        if not job.answered and all(c.never_ran or (c.status is None and not c.written) for c in job.calls):
+        if not job.answered and job.not_started:
             self._answer(job, Answer(FinalStatus.REFUSED))
             self._abandon(job)
 
@@ -282,8 +283,12 @@
         if job.answered:
             return
         job.answered = True
-        job.final_status = answer.final_status.value + job.give_up_reason
         job.answered_after_ms = self.clock.now() - job.received_at
+        if answer.final_status is not FinalStatus.SERVED and self._taken_back(job):
+            job.final_status = TAKEN_BACK + job.give_up_reason
+            self.counters.add("requests.taken_back")
+            return
+        job.final_status = answer.final_status.value + job.give_up_reason
         self.counters.add(f"requests.{answer.final_status.value}")
         self.job_stats.count_final_status(self.class_names[job.class_index], answer.final_status.value)
         try:
@@ -291,6 +296,16 @@
         except Exception as error:  # a failing front end must not stop the core
             self.counters.log("reply_failed", repr(error))
 
+    def _taken_back(self, job: Job) -> bool:
+        """Whether the front end keeps a job that is given up and has not run; it is then not a final answer."""
+        if job.take_back is None or not job.not_started:
+            return False
+        try:
+            return job.take_back()
+        except Exception as error:  # a failing front end must not stop the core
+            self.counters.log("take_back_failed", repr(error))
+            return False
+
     def _release_if_done(self, job: Job) -> None:
         if job.answered and not job.open_calls and job.number in self._jobs:
             del self._jobs[job.number]
--- a/gaphub/gearman/queues.py
+++ b/gaphub/gearman/queues.py
@@ -1,8 +1,11 @@
 """Queues of jobs that wait until the core can take them: admission, order and expiry.
 
 Opens no sockets and files, reads no clock and uses no randomness; times are passed in, in milliseconds.  A job
-must not stay here once it has been offered to the core: jobs wait before they are offered, never after, and a job
-that the Balancer rejects is answered at once.
+must not stay here once it has been offered to the core.  A foreground job that the Balancer rejects is answered at
+once; a background job, whose client will hear nothing more, is put back with its place and its expiry.
+
+Each class has two lanes, one for jobs that a client waits for and one for background jobs, so that the latter can
+be held back alone.  The order below is over both of them.
 
 Order within a class: by priority, with ageing.  Every ``AGEING_INTERVAL``-th job that is dequeued is the oldest
 one of the class, whatever its priority, so that a steady stream of high-priority jobs cannot starve the others.
@@ -16,10 +19,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from collections.abc import Hashable, Iterator
-from dataclasses import dataclass, field
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable, Hashable, Iterator
+from dataclasses import dataclass, replace
+from functools import partial
 from heapq import heapify, heappop, heappush
+from itertools import count
 from typing import Any
 
 PRIORITY_COUNT = 3  # 0: high, 1: normal, 2: low
@@ -51,53 +56,114 @@
     size: int
     queued_at: float
     expires_at: float  # when its client's deadline, or the lifetime of a background job, ends
+    background: bool = False  # no client waits for it
     serial: int = 0
     removed: bool = False  # by ``remove``, dequeue or expiry; entries that still refer to it are skipped
 
 
 class _PriorityLevel:
-    """The jobs of one class and priority: a queue per client, in round-robin order."""
+    """The jobs of one lane and priority: a queue per client, in round-robin order."""
 
-    __slots__ = ("priority", "by_client")
+    __slots__ = ("priority", "background", "by_client", "turns", "_new_turn")
 
-    def __init__(self, priority: int) -> None:
+    def __init__(self, priority: int, background: bool, new_turn: Callable[[], int]) -> None:
+        """``new_turn`` returns a larger number at each call."""
         self.priority = priority
+        self.background = background
         self.by_client: OrderedDict[Hashable, deque[QueuedJob]] = OrderedDict()
+        self.turns: dict[Hashable, int] = {}  # of each client; the lane with the smallest one is served first
+        self._new_turn = new_turn
 
     def put(self, job: QueuedJob) -> None:
-        self.by_client.setdefault(job.client, deque()).append(job)
+        if job.client not in self.by_client:
+            self.by_client[job.client] = deque()
+            self.turns[job.client] = self._new_turn()
+        self.by_client[job.client].append(job)
+
+    def put_first(self, job: QueuedJob) -> None:
+        """Give a job that was taken its place back, before all others."""
+        self.by_client.setdefault(job.client, deque()).appendleft(job)
+        self.by_client.move_to_end(job.client, last=False)
+        self.turns[job.client] = -self._new_turn()
 
     def has_left(self, job: QueuedJob) -> bool:
-        """Whether a job was removed or moved to another priority."""
-        return job.removed or job.priority != self.priority
+        """Whether a job was removed or moved to another priority or lane."""
+        return job.removed or job.priority != self.priority or job.background != self.background
 
-    def take_next(self) -> QueuedJob | None:
-        """The next job in round-robin order; its client goes to the end of the order."""
-        while self.by_client:
+    def next_turn(self) -> int:
+        """The turn of the client whose job ``take_next`` will return; there must be one."""
+        while True:
             client, jobs = next(iter(self.by_client.items()))
             while jobs and self.has_left(jobs[0]):
                 jobs.popleft()
-            if not jobs:
-                del self.by_client[client]
-                continue
-            job = jobs.popleft()
             if jobs:
-                self.by_client.move_to_end(client)
+                return self.turns[client]
+            self.remove_client(client)
+
+    def take_next(self) -> QueuedJob:
+        """The next job in round-robin order; there must be one.  Its client goes to the end of the order."""
+        self.next_turn()
+        client, jobs = next(iter(self.by_client.items()))
+        job = jobs.popleft()
+        if jobs:
+            self.by_client.move_to_end(client)
+            self.turns[client] = self._new_turn()
+        else:
+            self.remove_client(client)
+        return job
+
+    def remove_client(self, client: Hashable) -> None:
+        """Remove a client's queue."""
+        del self.by_client[client], self.turns[client]
+
+    def compact(self) -> None:
+        """Drop the entries of jobs that have left."""
+        for client in list(self.by_client):
+            jobs = deque(j for j in self.by_client[client] if not self.has_left(j))
+            if jobs:
+                self.by_client[client] = jobs
             else:
-                del self.by_client[client]
-            return job
-        return None
+                self.remove_client(client)
 
 
-@dataclass
-class _ClassQueue:
-    """The queued jobs of one class."""
+class _Lane:
+    """The queued jobs of one class that a client waits for, or its background jobs."""
 
-    levels: list[_PriorityLevel] = field(
-        default_factory=lambda: [_PriorityLevel(p) for p in range(PRIORITY_COUNT)])
-    counts: list[int] = field(default_factory=lambda: [0] * PRIORITY_COUNT)
-    by_age: deque[QueuedJob] = field(default_factory=deque)
-    dequeued: int = 0
+    def __init__(self, background: bool, new_turn: Callable[[], int]) -> None:
+        self.levels = [_PriorityLevel(p, background, new_turn) for p in range(PRIORITY_COUNT)]
+        self.counts = [0] * PRIORITY_COUNT
+        self.by_age: list[tuple[float, int, QueuedJob]] = []  # heap: queueing time, serial
+
+    def oldest(self) -> QueuedJob | None:
+        """The job that was queued first; None if there is none."""
+        while self.by_age and self.levels[self.by_age[0][2].priority].has_left(self.by_age[0][2]):
+            heappop(self.by_age)
+        return self.by_age[0][2] if self.by_age else None
+
+    def put(self, job: QueuedJob, first: bool = False) -> None:
+        """Add a job, at the end of its client's queue or before all others."""
+        level = self.levels[job.priority]
+        if first:
+            level.put_first(job)
+        else:
+            level.put(job)
+        self.counts[job.priority] += 1
+        heappush(self.by_age, (job.queued_at, job.serial, job))
+
+    def raise_priority(self, job: QueuedJob, priority: int) -> None:
+        """Move a job to the level of a higher priority."""
+        self.counts[job.priority] -= 1
+        job.priority = priority
+        self.counts[job.priority] += 1
+        self.levels[job.priority].put(job)
+
+    def compact(self) -> None:
+        """Drop entries of jobs that have left, once they outnumber the others."""
+        if len(self.by_age) > 2 * sum(self.counts) + 64:
+            self.by_age = [e for e in self.by_age if not self.levels[e[2].priority].has_left(e[2])]
+            heapify(self.by_age)
+            for level in self.levels:
+                level.compact()
 
 
 class Queues:
@@ -110,7 +176,10 @@
         self.limited_bytes = 0  # memory of the limits on single functions
         self.refused = 0
         self._last_serial = 0
-        self._classes: dict[int, _ClassQueue] = {}
+        self._turns = count(1)
+        self._classes: dict[int, _Lane] = {}  # jobs that a client waits for
+        self._background: dict[int, _Lane] = {}
+        self._dequeued: Counter[int] = Counter()  # by class
         self._counts_by_function: dict[bytes, list[int]] = {}
         self._counts_by_client: dict[Hashable, int] = {}
         self._function_limits: dict[bytes, list[int]] = {}  # ``maxqueue``: by priority; 0: no limit
@@ -147,7 +216,7 @@
         return ""
 
     def put(self, item: Any, class_index: int, function: bytes, client: Hashable, priority: int, size: int,
-            now: float, expires_at: float) -> QueuedJob | str:
+            now: float, expires_at: float, background: bool = False) -> QueuedJob | str:
         """Queue a job; returns the error code if there is no room for it."""
         reason = self.refusal_reason(function, client, priority, size)
         if reason:
@@ -155,17 +224,35 @@
             return reason
         self._last_serial += 1
         job = QueuedJob(item, class_index, function, client, priority, size + JOB_OVERHEAD_BYTES, now, expires_at,
-                        self._last_serial)
-        class_queue = self._classes.setdefault(class_index, _ClassQueue())
-        class_queue.levels[priority].put(job)
-        class_queue.counts[priority] += 1
-        class_queue.by_age.append(job)
-        heappush(self._expiry_heap, (expires_at, job.serial, job))
-        self._counts_by_function.setdefault(function, [0] * PRIORITY_COUNT)[priority] += 1
-        self._counts_by_client[client] = self._counts_by_client.get(client, 0) + 1
+                        background, self._last_serial)
+        self._insert(job)
+        return job
+
+    def put_back(self, job: QueuedJob, expires_at: float) -> QueuedJob:
+        """Queue a dequeued job again, before all others, as a background job that is as old as it was.
+
+        No limit applies: it was admitted before.
+        """
+        self._last_serial += 1
+        again = replace(job, expires_at=expires_at, background=True, serial=self._last_serial, removed=False)
+        self._insert(again, first=True)
+        return again
+
+    def _insert(self, job: QueuedJob, first: bool = False) -> None:
+        self._lane_of(job).put(job, first)
+        heappush(self._expiry_heap, (job.expires_at, job.serial, job))
+        self._counts_by_function.setdefault(job.function, [0] * PRIORITY_COUNT)[job.priority] += 1
+        self._counts_by_client[job.client] = self._counts_by_client.get(job.client, 0) + 1
         self.count += 1
         self.bytes += job.size
-        return job
+
+    def _lane_of(self, job: QueuedJob) -> _Lane:
+        """The lane of a job, which is made at its first use."""
+        lanes = self._background if job.background else self._classes
+        lane = lanes.get(job.class_index)
+        if lane is None:
+            lane = lanes[job.class_index] = _Lane(job.background, partial(next, self._turns))
+        return lane
 
     # -- removal --
 
@@ -174,7 +261,7 @@
         if job.removed:
             return False
         job.removed = True
-        self._classes[job.class_index].counts[job.priority] -= 1
+        self._lane_of(job).counts[job.priority] -= 1
         counts = self._counts_by_function[job.function]
         counts[job.priority] -= 1
         if not any(counts):
@@ -187,23 +274,17 @@
         self._compact()
         return True
 
-    def dequeue(self, class_index: int) -> QueuedJob | None:
-        """Remove and return the next job of a class; None if there is none."""
-        class_queue = self._classes.get(class_index)
-        if class_queue is None or not any(class_queue.counts):
+    def dequeue(self, class_index: int, background: bool = True) -> QueuedJob | None:
+        """Remove and return the next job of a class; None if there is none.
+
+        ``background``: whether it may be a background job.
+        """
+        lanes = (self._classes.get(class_index), self._background.get(class_index) if background else None)
+        used = [lane for lane in lanes if lane is not None and any(lane.counts)]
+        if not used:
             return None
-        class_queue.dequeued += 1
-        while class_queue.by_age and class_queue.by_age[0].removed:
-            class_queue.by_age.popleft()
-        job: QueuedJob | None = None
-        if class_queue.dequeued % AGEING_INTERVAL == 0:
-            job = class_queue.by_age[0]
-        else:
-            for priority in range(PRIORITY_COUNT):
-                if class_queue.counts[priority]:
-                    job = class_queue.levels[priority].take_next()
-                    break
-        assert job is not None
+        self._dequeued[class_index] += 1
+        job = _oldest_of(used) if self._dequeued[class_index] % AGEING_INTERVAL == 0 else _next_of(used)
         self.remove(job)
         return job
 
@@ -224,36 +305,33 @@
         """The earliest time at which ``pop_expired`` may yield a job."""
         return self._expiry_heap[0][0] if self._expiry_heap else 1e18
 
-    def upgrade(self, job: QueuedJob, priority: int, expires_at: float) -> None:
-        """Raise a job's priority or expiry to that of a client that submitted it again; never lowers them."""
+    def upgrade(self, job: QueuedJob, priority: int, expires_at: float, foreground: bool = False) -> None:
+        """Raise a job's priority or expiry to that of a client that submitted it again; never lowers them.
+
+        ``foreground``: that client waits for the job.
+        """
         if job.removed:
             return
         if expires_at > job.expires_at:
             job.expires_at = expires_at
             heappush(self._expiry_heap, (expires_at, job.serial, job))  # the earlier entry is skipped on expiry
         if priority < job.priority:
-            class_queue = self._classes[job.class_index]
-            for counts in (class_queue.counts, self._counts_by_function[job.function]):
-                counts[job.priority] -= 1
-                counts[priority] += 1
-            job.priority = priority
-            class_queue.levels[priority].put(job)
+            counts = self._counts_by_function[job.function]
+            counts[job.priority] -= 1
+            counts[priority] += 1
+            self._lane_of(job).raise_priority(job, priority)
+        if job.background and foreground:
+            self._lane_of(job).counts[job.priority] -= 1
+            job.background = False
+            self._lane_of(job).put(job)
 
     def _compact(self) -> None:
         """Drop entries of removed jobs once they outnumber the queued ones, to keep memory use bounded."""
         if len(self._expiry_heap) > 2 * self.count + 64:
             self._expiry_heap = [e for e in self._expiry_heap if not e[2].removed]
             heapify(self._expiry_heap)
-        for class_queue in self._classes.values():
-            if len(class_queue.by_age) > 2 * sum(class_queue.counts) + 64:
-                class_queue.by_age = deque(j for j in class_queue.by_age if not j.removed)
-                for level in class_queue.levels:
-                    for client in list(level.by_client):
-                        jobs = deque(j for j in level.by_client[client] if not level.has_left(j))
-                        if jobs:
-                            level.by_client[client] = jobs
-                        else:
-                            del level.by_client[client]
+        for lane in self._lanes():
+            lane.compact()
 
     # -- statistics --
 
@@ -267,15 +345,28 @@
 
     def count_of_class(self, class_index: int) -> int:
         """The number of queued jobs of a class."""
-        class_queue = self._classes.get(class_index)
-        return sum(class_queue.counts) if class_queue is not None else 0
+        lanes = (self._classes.get(class_index), self._background.get(class_index))
+        return sum(sum(lane.counts) for lane in lanes if lane is not None)
 
     def oldest_ms(self, now: float) -> float:
         """How long the oldest job has been queued; 0 if there is none."""
-        ages_ms = []
-        for class_queue in self._classes.values():
-            while class_queue.by_age and class_queue.by_age[0].removed:
-                class_queue.by_age.popleft()
-            if class_queue.by_age:
-                ages_ms.append(now - class_queue.by_age[0].queued_at)
-        return max(ages_ms, default=0.0)
+        oldest = (lane.oldest() for lane in self._lanes())
+        return max((now - job.queued_at for job in oldest if job is not None), default=0.0)
+
+    def _lanes(self) -> Iterator[_Lane]:
+        """The lanes of all classes."""
+        yield from self._classes.values()
+        yield from self._background.values()
+
+
+def _oldest_of(lanes: list[_Lane]) -> QueuedJob:
+    """The job that was queued first among lanes that all have jobs."""
+    jobs = [job for lane in lanes if (job := lane.oldest()) is not None]
+    return min(jobs, key=lambda job: (job.queued_at, job.serial))
+
+
+def _next_of(lanes: list[_Lane]) -> QueuedJob:
+    """The next job by priority and then by turn among lanes that all have jobs; it is taken out of its level."""
+    priority = min(p for lane in lanes for p in range(PRIORITY_COUNT) if lane.counts[p])
+    levels = [lane.levels[priority] for lane in lanes if lane.counts[priority]]
+    return min(levels, key=_PriorityLevel.next_turn).take_next()
--- a/gaphub/messages.py
+++ b/gaphub/messages.py
@@ -83,6 +83,9 @@
     front_context: object = None  # the front end's own record of the request
     balancer_budget_ms: float = 0.0  # remaining time as passed to the Balancer; 0: the actual remaining time
     on_done: Callable[[], None] | None = None  # called once it is answered and no call is in flight
+    # Called before ``reply`` if it is given up before it ran; True if the front end keeps it, to offer it again as
+    # another job.
+    take_back: Callable[[], bool] | None = None
     fence: Fence | None = None  # must hold when the request is accepted and sent; None: no fence
     client_left_at: Callable[[], float] | None = None  # when the client disconnected; 0: still connected
     number: int = 0  # assigned by the core; the Balancer's request id
@@ -95,6 +98,16 @@
     calls: list[Call] = field(default_factory=list)
     open_calls: int = 0
 
+    @property
+    def not_started(self) -> bool:
+        """Whether no attempt has run, nor will once the job has its final answer."""
+        return all(call.never_ran or (call.status is None and not call.written) for call in self.calls)
+
+    @property
+    def attempts_made(self) -> int:
+        """The number of attempts of which a worker has, or may have, seen something."""
+        return sum(call.written or call.first_byte_at > 0.0 for call in self.calls)
+
     @property
     def may_have_run(self) -> bool:
         """Whether an attempt has run, or may have or may yet."""
--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -19,11 +19,13 @@
 from collections import Counter
 from collections.abc import Callable
 from contextlib import aclosing, suppress
+from dataclasses import replace
 from functools import partial
 from heapq import heapify, heappop, heappush
 
 from ...config import Config, ConfigError
 from ...core import Core
+from ...gearman.backoff import BackgroundBackoff
 from ...gearman.codec import (
     CAN_DO,
     CAN_DO_TIMEOUT,
@@ -139,6 +141,7 @@
         self.queues = Queues(QueueLimits(self.config.queue_most, self.config.queue_function_most,
                                          self.config.queue_client_most, self.config.queue_bytes))
         self.schedule = Schedule(self.config.schedule_most)
+        self._backoff = BackgroundBackoff()
         self._dispatched = [0] * len(config.class_names)  # dequeued and not yet answered, by class index
         self._unstarted: Counter[tuple[bytes, int]] = Counter()  # dequeued jobs that no worker has started
         self._check_now = asyncio.Event()
@@ -204,9 +207,9 @@
         """Dispatch queued and due jobs, expire recorded results, and end calls that exceed a worker's timeout."""
         while True:
             now = self.core.clock.now()
+            due_ms = min(self.queues.next_expiry(), self._backoff.next_release(now)) - now
             with suppress(TimeoutError):
-                async with asyncio.timeout(min(CHECK_INTERVAL_S,
-                                               max(0.001, (self.queues.next_expiry() - now) / 1000.0))):
+                async with asyncio.timeout(min(CHECK_INTERVAL_S, max(0.001, due_ms / 1000.0))):
                     await self._check_now.wait()
             self._check_now.clear()
             self._enqueue_due()
@@ -422,9 +425,10 @@
             self.counters.add("gearman.joined")
             session.send(JOB_CREATED, submission.handle)
             self._add_client(session, submission, foreground)
-            if submission.queue_entry is not None and submission.job is not None:
-                self.queues.upgrade(submission.queue_entry, priority,
-                                    self._queue_deadline(submission.job, not foreground))
+            if submission.job is not None:
+                self._extend_wait(submission, not foreground)
+            if submission.queue_entry is not None:
+                self.queues.upgrade(submission.queue_entry, priority, submission.expires_at, foreground)
             return
         result = self._results.get(key) if unique else None
         if result is not None and result.expires_at > self.core.clock.now():
@@ -452,7 +456,8 @@
         job = Job(f"{self._random.getrandbits(64):016x}", class_index, now,
                   self.core.settings.classes[class_index].deadline_ms, partial(self._on_answer, submission),
                   workload, on_update=partial(self._forward_update, submission), front_context=submission,
-                  fence=self.fence, max_calls=self.core.settings.max_attempts)
+                  fence=self.fence, max_calls=self.core.settings.max_attempts,
+                  take_back=partial(self._take_back, submission))
         job.client_left_at = lambda: submission.client_left_at(self.core.clock.now())
         submission.job = job
         if due is None:
@@ -476,9 +481,10 @@
     def _enqueue(self, submission: Submission, client: int, size: int) -> bool:
         """Queue a job until a worker has capacity; False if the queues are full."""
         assert submission.job is not None
+        self._extend_wait(submission, submission.background)
         queued = self.queues.put(submission, submission.job.class_index, submission.function, client,
-                                 submission.priority, size, self.core.clock.now(),
-                                 self._queue_deadline(submission.job, submission.background))
+                                 submission.priority, size, self.core.clock.now(), submission.expires_at,
+                                 submission.background and not submission.waiting_clients)
         submission.queue_entry = queued if isinstance(queued, QueuedJob) else None
         return submission.queue_entry is not None
 
@@ -490,28 +496,39 @@
                 self.counters.add("gearman.due_and_no_room")
                 self.schedule.retry(submission, now + DUE_RETRY_S * 1000.0)
 
-    def _queue_deadline(self, job: Job, background: bool) -> float:
-        """When a queued job expires: at its client's deadline, or after the lifetime of a background job."""
+    def _extend_wait(self, submission: Submission, background: bool) -> None:
+        """Let a job wait until its client's deadline, or for the lifetime of a background job from now on."""
+        assert submission.job is not None
         if background:
-            return self.core.clock.now() + self.config.background_s * 1000.0
-        return job.received_at + self.core.settings.classes[job.class_index].deadline_ms - ANSWER_MARGIN_MS
+            expires_at = self.core.clock.now() + self.config.background_s * 1000.0
+        else:
+            deadline_ms = self.core.settings.classes[submission.job.class_index].deadline_ms
+            expires_at = submission.job.received_at + deadline_ms - ANSWER_MARGIN_MS
+        submission.expires_at = max(submission.expires_at, expires_at)
 
     def _dispatch(self) -> None:
         """Offer jobs to the core in queue order, as far as workers have capacity; refuse those that expired."""
         now = self.core.clock.now()
         for expired in self.queues.pop_expired(now):
             self.counters.add("gearman.expired")
+            if expired.item.background:
+                self.counters.log("gearman.background_expired", f"{expired.item.handle.decode()}: it never ran")
             expired.item.queue_entry = None
             self._refuse(expired.item)
         for class_index, dispatched in enumerate(self._dispatched):
             room = self.config.per_worker * self.core.count_eligible(class_index) - dispatched
+            background_room = self._backoff.allowance(class_index, now, room)
             while (room > 0 and self.core.can_accept()
-                   and (queue_entry := self.queues.dequeue(class_index)) is not None):
+                   and (queue_entry := self.queues.dequeue(class_index, background_room > 0)) is not None):
                 room -= 1
-                self._offer_to_core(queue_entry.item, now)
-
-    def _offer_to_core(self, submission: Submission, now: float) -> None:
-        submission.queue_entry = None
+                if queue_entry.background:
+                    background_room -= 1
+                    self._backoff.record_offer(class_index, now)
+                self._offer_to_core(queue_entry, now)
+
+    def _offer_to_core(self, queue_entry: QueuedJob, now: float) -> None:
+        submission: Submission = queue_entry.item
+        submission.queue_entry, submission.last_queue_entry = None, queue_entry
         assert submission.job is not None
         job_class = self.core.settings.classes[submission.job.class_index]
         if submission.background and not submission.waiting_clients:
@@ -524,6 +541,32 @@
         self._unstarted[(submission.function, submission.priority)] += 1
         self.core.offer(submission.job)
 
+    def _take_back(self, submission: Submission) -> bool:
+        """Queue a background job again that the core gave up before it ran; False if that was its final answer.
+
+        Its client was told that it is accepted and hears nothing more: it waits as long as it may.  Clients that
+        wait for the same job are answered.
+        """
+        now = self.core.clock.now()
+        job, queue_entry = submission.job, submission.last_queue_entry
+        assert job is not None and queue_entry is not None
+        attempts_left = job.max_calls - job.attempts_made
+        if (not submission.background or submission.cancelled or self.stopping or now >= submission.expires_at
+                or attempts_left <= 0 or (job.fence is not None and not job.fence.holds())):
+            return False
+        self.counters.add("gearman.requeued")
+        self._dispatched[job.class_index] -= 1
+        self._mark_started(submission)
+        submission.running = False
+        self._answer_clients(submission, Answer(FinalStatus.REFUSED))
+        submission.job = replace(job, max_calls=attempts_left, calls=[], open_calls=0, number=0, answered=False,
+                                 give_up_reason="", balancer_budget_ms=0.0)
+        submission.queue_entry = self.queues.put_back(queue_entry, submission.expires_at)
+        self._backoff.record_refusal(job.class_index, now, self._random.random())
+        self._check_now.set()  # the time until the next offer is another one
+        self._dispatch()
+        return True
+
     def _mark_started(self, submission: Submission) -> None:
         """Mark a dequeued job as started; also if it ended without having started."""
         if not submission.running:
@@ -626,12 +669,18 @@
                                    self.config.keep_s * 1000.0)
             else:
                 self._release_unique(submission)
+        self._answer_clients(submission, answer)
+        if dispatched and answer.final_status is not FinalStatus.REFUSED:
+            self._backoff.record_end(submission.job.class_index)
+        if dispatched and self.queues.count:
+            self._dispatch()  # its worker has capacity again
+
+    @staticmethod
+    def _answer_clients(submission: Submission, answer: Answer) -> None:
         for session in submission.waiting_clients:
             session.awaited_jobs.discard(submission)
             _send_result(session, submission.handle, answer.final_status, answer.body)
         submission.waiting_clients.clear()
-        if dispatched and self.queues.count:
-            self._dispatch()  # its worker has capacity again
 
     # -- workers --
 
--- a/gaphub/net/gearman/session.py
+++ b/gaphub/net/gearman/session.py
@@ -34,6 +34,9 @@
     waiting_clients: list[Session] = field(default_factory=list)
     job: Job | None = None
     queue_entry: QueuedJob | None = None  # None unless it is queued
+    last_queue_entry: QueuedJob | None = None  # the one with which it was dequeued last
+    expires_at: float = 0.0  # when it may wait no longer: its client's deadline, or the end of its life
+    cancelled: bool = False  # an operator cancelled it: it may not be offered again
     reducer: bytes = b""  # function that aggregates partial results; sent with JOB_ASSIGN_ALL
     client: int = 0  # the number of the session that submitted it
     size: int = 0  # of a scheduled job: of its names and workload
--- a/gaphub/net/gearman/text.py
+++ b/gaphub/net/gearman/text.py
@@ -148,6 +148,7 @@
             submission.queue_entry = None
             self.refuse_job(submission)
             return b"OK\n"
+        submission.cancelled = True
         await self.core.post(partial(self.core.withdraw, submission.job))
         return b"OK\n"
 
