Background jobs stand back while requests are refused because workers are busy

Seen by callers, since background jobs wait on after a refusal: beside a backlog of them fewer foreground jobs were served in a traffic jump than before.

Cause: background jobs were offered until the policy refused them, and so filled the workers' queues up to the limit at which a foreground job is refused.

Change: the core keeps when a request was last refused for strain or its wait, at either front. Background jobs then stand back for 0.8 s, have a turn of 0.2 s so that they are never kept out altogether, and go to idle workers only for 10 s after the last such refusal.

--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -48,6 +48,7 @@
 
 MAILBOX_SIZE = 4096  # messages; when it is full, requests are refused and all other senders wait
 MAX_CALLS_IN_FLIGHT = 2  # concurrent attempts of one request, where the settings allow second copies
+BUSY_REASONS = frozenset(("strain", "wait"))  # of the Balancer's refusals: the workers are busy
 TAKEN_BACK = "taken-back"  # in the request log, the end of a job that its front end will offer again
 WATCHDOG_MARGIN_MS = 2.0  # before its deadline, a request that the Balancer left unanswered is answered
 
@@ -70,6 +71,7 @@
         self.list_port: ListPort | None = None
         self.peer_port: PeerPort | None = None
         self.class_index_users: list[ClassIndexUser] = []
+        self.last_busy_refusal_at = float("-inf")  # when a request got a refusal because the workers are busy
         self.log_request: Callable[[str], None] | None = None  # gets one line per finished request
         self._mailbox: asyncio.Queue[Callable[[], None]] = asyncio.Queue(MAILBOX_SIZE)
         self._deferred: deque[Callable[[], None]] = deque()  # run once the current call on the Balancer returns
@@ -459,6 +461,8 @@
             if job.fence is not None and not job.fence.holds():
                 retry_after_ms = job.fence.retry_after_ms
             self._answer(job, Answer(final_status, retry_after_ms=retry_after_ms))
+            if self.balancer.give_up_reason in BUSY_REASONS and not job.final_status.startswith(TAKEN_BACK):
+                self.last_busy_refusal_at = self.clock.now()
             self._release_if_done(job)
 
     def fail(self, request: int) -> None:
--- a/gaphub/gearman/backoff.py
+++ b/gaphub/gearman/backoff.py
@@ -8,6 +8,11 @@
 are queued.  So each class has a window as in TCP's congestion control: a refusal shrinks it to one job and starts
 a pause, which grows with each further refusal; a window that is offered without a refusal doubles; a job of the
 class that ends makes room for another window at once.
+
+A backlog of background jobs would fill the workers' queues up to the limit at which requests are refused whose
+clients wait.  So background jobs of all classes stand back for ``YIELD_MS`` when such a request is refused because
+the workers are busy, and then have ``TURN_MS`` in which they do not; and for ``CONTENTION_MS`` after the refusal
+they are offered to idle workers only.
 """
 
 from __future__ import annotations
@@ -16,6 +21,9 @@
 
 MIN_PAUSE_MS = 50.0
 MAX_PAUSE_MS = 1000.0
+CONTENTION_MS = 10_000.0
+YIELD_MS = 800.0
+TURN_MS = 200.0
 MAX_WINDOW = 256  # jobs; a class that was offered so many without a refusal has no limit any more
 
 
@@ -35,9 +43,26 @@
 
     def __init__(self) -> None:
         self._by_class: dict[int, _ClassBackoff] = {}
-
-    def allowance(self, class_index: int, now: float, most: int) -> int:
-        """How many background jobs of a class may be offered now, at most ``most``."""
+        self._yield_until = float("-inf")
+        self._next_yield_at = float("-inf")
+        self._contended_until = float("-inf")
+
+    def yield_to_foreground(self, refused_at: float) -> None:
+        """The last request that a client waited for was refused at this time because the workers are busy."""
+        self._contended_until = refused_at + CONTENTION_MS
+        if refused_at >= self._next_yield_at:
+            self._yield_until = refused_at + YIELD_MS
+            self._next_yield_at = self._yield_until + TURN_MS
+
+    def allowance(self, class_index: int, now: float, most: int, idle: int) -> int:
+        """How many background jobs of a class may be offered now, at most ``most``.
+
+        ``idle``: how many workers have no job of the class.
+        """
+        if now < self._yield_until:
+            return 0
+        if now < self._contended_until:
+            most = min(most, idle)
         backoff = self._by_class.get(class_index)
         if backoff is None:
             return most
@@ -88,4 +113,5 @@
 
     def next_release(self, now: float) -> float:
         """When the next pause ends; infinite if there is none."""
-        return min((b.paused_until for b in self._by_class.values() if b.paused_until > now), default=float("inf"))
+        ends = [self._yield_until, *(b.paused_until for b in self._by_class.values())]
+        return min((end for end in ends if end > now), default=float("inf"))
--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -515,9 +515,11 @@
                 self.counters.log("gearman.background_expired", f"{expired.item.handle.decode()}: it never ran")
             expired.item.queue_entry = None
             self._refuse(expired.item)
+        self._backoff.yield_to_foreground(self.core.last_busy_refusal_at)
         for class_index, dispatched in enumerate(self._dispatched):
-            room = self.config.per_worker * self.core.count_eligible(class_index) - dispatched
-            background_room = self._backoff.allowance(class_index, now, room)
+            eligible = self.core.count_eligible(class_index)
+            room = self.config.per_worker * eligible - dispatched
+            background_room = self._backoff.allowance(class_index, now, room, eligible - dispatched)
             while (room > 0 and self.core.can_accept()
                    and (queue_entry := self.queues.dequeue(class_index, background_room > 0)) is not None):
                 room -= 1
--- a/tests/test_background_jobs.py
+++ b/tests/test_background_jobs.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gaphub.gearman.backoff import MAX_PAUSE_MS, MIN_PAUSE_MS, BackgroundBackoff
+from gaphub.gearman.backoff import MAX_PAUSE_MS, MIN_PAUSE_MS, TURN_MS, YIELD_MS, BackgroundBackoff
 from gaphub.gearman.queues import QueuedJob, QueueLimits, Queues
 
 from .scenario import CLASSES, Harness, play
@@ -210,15 +210,33 @@
             now += share * MAX_PAUSE_MS
         elif step == "end":
             backoff.record_end(0)
-            assert backoff.allowance(0, now, 1000) >= 1
-        elif backoff.allowance(0, now, 1000):
+            assert backoff.allowance(0, now, 1000, 1000) >= 1
+        elif backoff.allowance(0, now, 1000, 1000):
             backoff.record_offer(0, now)
             backoff.record_refusal(0, now, share)
-            assert backoff.allowance(0, now + 0.4 * MIN_PAUSE_MS, 1000) == 0
+            assert backoff.allowance(0, now + 0.4 * MIN_PAUSE_MS, 1000, 1000) == 0
         assert backoff.next_release(now) == float("inf") or backoff.next_release(now) <= now + 1.5 * MAX_PAUSE_MS
     now += 1.5 * MAX_PAUSE_MS
     for _ in range(20):  # no refusal any more: the window doubles until there is no limit
-        for _ in range(backoff.allowance(0, now, 1000)):
+        for _ in range(backoff.allowance(0, now, 1000, 1000)):
             backoff.record_offer(0, now)
         now += MIN_PAUSE_MS
-    assert backoff.allowance(0, now, 1000) == 1000
+    assert backoff.allowance(0, now, 1000, 1000) == 1000
+
+
+# Guards against background jobs that take each free place while clients' requests are refused, and against the
+# opposite: background jobs that are never offered while requests are refused without end.
+@given(st.lists(st.floats(0.0, 50.0), min_size=200, max_size=200))
+def test_background_jobs_stand_back_after_a_refusal_and_have_their_turn(gaps_ms: list[float]) -> None:
+    backoff, now, offered_at = BackgroundBackoff(), 1000.0, [1000.0]
+    backoff.yield_to_foreground(now)
+    assert backoff.allowance(0, now + YIELD_MS, 9, 0) == 0 < backoff.allowance(0, now + YIELD_MS, 9, 9)
+    assert backoff.allowance(0, now + YIELD_MS - 1.0, 9, 9) == 0
+    for gap in gaps_ms:
+        now += gap
+        if backoff.allowance(0, now, 9, 9):
+            offered_at.append(now)
+        backoff.yield_to_foreground(now)
+    longest = max(b - a for a, b in zip(offered_at, [*offered_at[1:], now], strict=True))
+    assert longest <= YIELD_MS + 2 * max(gaps_ms) + 1.0
+    assert sum(gaps_ms) < YIELD_MS + TURN_MS or len(offered_at) > 1
