Background jobs are offered once a second while no worker is idle

Cause: after a refusal of a request background jobs went to idle workers only; while foreground jobs keep all workers busy for long, none would be offered until its life is over.

Change: a class whose last background job was offered a second ago may offer one whether or not a worker is idle; the policy decides as for any job.

--- a/gaphub/gearman/backoff.py
+++ b/gaphub/gearman/backoff.py
@@ -12,7 +12,7 @@
 A backlog of background jobs would fill the workers' queues up to the limit at which requests are refused whose
 clients wait.  So background jobs of all classes stand back for ``YIELD_MS`` when such a request is refused because
 the workers are busy, and then have ``TURN_MS`` in which they do not; and for ``CONTENTION_MS`` after the refusal
-they are offered to idle workers only.
+they are offered to idle workers only, but for one a class in ``MAX_IDLE_WAIT_MS``, so that none starves.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 MIN_PAUSE_MS = 50.0
 MAX_PAUSE_MS = 1000.0
 CONTENTION_MS = 10_000.0
+MAX_IDLE_WAIT_MS = 1000.0
 YIELD_MS = 800.0
 TURN_MS = 200.0
 MAX_WINDOW = 256  # jobs; a class that was offered so many without a refusal has no limit any more
@@ -43,6 +44,7 @@
 
     def __init__(self) -> None:
         self._by_class: dict[int, _ClassBackoff] = {}
+        self._last_offer_at: dict[int, float] = {}  # by class
         self._yield_until = float("-inf")
         self._next_yield_at = float("-inf")
         self._contended_until = float("-inf")
@@ -62,7 +64,8 @@
         if now < self._yield_until:
             return 0
         if now < self._contended_until:
-            most = min(most, idle)
+            waited_ms = now - self._last_offer_at.get(class_index, float("-inf"))
+            most = min(most, max(idle, int(waited_ms >= MAX_IDLE_WAIT_MS)))
         backoff = self._by_class.get(class_index)
         if backoff is None:
             return most
@@ -84,6 +87,7 @@
 
     def record_offer(self, class_index: int, now: float) -> None:
         """A background job of a class was offered to the core."""
+        self._last_offer_at[class_index] = now
         backoff = self._by_class.get(class_index)
         if backoff is not None:
             backoff.left -= 1
