--- a/gaphub/core.py
+++ b/gaphub/core.py
@@ -303,7 +303,7 @@
         if job.take_back is None or not job.not_started:
             return False
         try:
-            return job.take_back()
+            return job.take_back(job)
         except Exception as error:  # a failing front end must not stop the core
             self.counters.log("take_back_failed", repr(error))
             return False
--- a/gaphub/gearman/queues.py
+++ b/gaphub/gearman/queues.py
@@ -60,6 +60,10 @@
     serial: int = 0
     removed: bool = False  # by ``remove``, dequeue or expiry; entries that still refer to it are skipped
 
+    def __lt__(self, other: QueuedJob) -> bool:
+        """Whether it was queued before another job."""
+        return (self.queued_at, self.serial) < (other.queued_at, other.serial)
+
 
 class _PriorityLevel:
     """The jobs of one lane and priority: a queue per client, in round-robin order."""
@@ -132,13 +136,13 @@
     def __init__(self, background: bool, new_turn: Callable[[], int]) -> None:
         self.levels = [_PriorityLevel(p, background, new_turn) for p in range(PRIORITY_COUNT)]
         self.counts = [0] * PRIORITY_COUNT
-        self.by_age: list[tuple[float, int, QueuedJob]] = []  # heap: queueing time, serial
+        self.by_age: list[QueuedJob] = []  # heap
 
     def oldest(self) -> QueuedJob | None:
         """The job that was queued first; None if there is none."""
-        while self.by_age and self.levels[self.by_age[0][2].priority].has_left(self.by_age[0][2]):
+        while self.by_age and self.levels[self.by_age[0].priority].has_left(self.by_age[0]):
             heappop(self.by_age)
-        return self.by_age[0][2] if self.by_age else None
+        return self.by_age[0] if self.by_age else None
 
     def put(self, job: QueuedJob, first: bool = False) -> None:
         """Add a job, at the end of its client's queue or before all others."""
@@ -148,7 +152,7 @@
         else:
             level.put(job)
         self.counts[job.priority] += 1
-        heappush(self.by_age, (job.queued_at, job.serial, job))
+        heappush(self.by_age, job)
 
     def raise_priority(self, job: QueuedJob, priority: int) -> None:
         """Move a job to the level of a higher priority."""
@@ -160,7 +164,7 @@
     def compact(self) -> None:
         """Drop entries of jobs that have left, once they outnumber the others."""
         if len(self.by_age) > 2 * sum(self.counts) + 64:
-            self.by_age = [e for e in self.by_age if not self.levels[e[2].priority].has_left(e[2])]
+            self.by_age = [job for job in self.by_age if not self.levels[job.priority].has_left(job)]
             heapify(self.by_age)
             for level in self.levels:
                 level.compact()
@@ -362,7 +366,7 @@
 def _oldest_of(lanes: list[_Lane]) -> QueuedJob:
     """The job that was queued first among lanes that all have jobs."""
     jobs = [job for lane in lanes if (job := lane.oldest()) is not None]
-    return min(jobs, key=lambda job: (job.queued_at, job.serial))
+    return min(jobs)
 
 
 def _next_of(lanes: list[_Lane]) -> QueuedJob:
--- a/gaphub/messages.py
+++ b/gaphub/messages.py
@@ -83,9 +83,9 @@
     front_context: object = None  # the front end's own record of the request
     balancer_budget_ms: float = 0.0  # remaining time as passed to the Balancer; 0: the actual remaining time
     on_done: Callable[[], None] | None = None  # called once it is answered and no call is in flight
-    # Called before ``reply`` if it is given up before it ran; True if the front end keeps it, to offer it again as
-    # another job.
-    take_back: Callable[[], bool] | None = None
+    # Called with the job, before ``reply``, if it is given up before it ran; True if the front end keeps it, to
+    # offer it again as another job.  One function serves all jobs, as very many may be queued.
+    take_back: Callable[[Job], bool] | None = None
     fence: Fence | None = None  # must hold when the request is accepted and sent; None: no fence
     client_left_at: Callable[[], float] | None = None  # when the client disconnected; 0: still connected
     number: int = 0  # assigned by the core; the Balancer's request id
--- a/gaphub/net/gearman/front.py
+++ b/gaphub/net/gearman/front.py
@@ -142,6 +142,7 @@
                                          self.config.queue_client_most, self.config.queue_bytes))
         self.schedule = Schedule(self.config.schedule_most)
         self._backoff = BackgroundBackoff()
+        self._keep_job = self._take_back  # one bound method for all jobs
         self._dispatched = [0] * len(config.class_names)  # dequeued and not yet answered, by class index
         self._unstarted: Counter[tuple[bytes, int]] = Counter()  # dequeued jobs that no worker has started
         self._check_now = asyncio.Event()
@@ -457,7 +458,7 @@
                   self.core.settings.classes[class_index].deadline_ms, partial(self._on_answer, submission),
                   workload, on_update=partial(self._forward_update, submission), front_context=submission,
                   fence=self.fence, max_calls=self.core.settings.max_attempts,
-                  take_back=partial(self._take_back, submission))
+                  take_back=self._keep_job)
         job.client_left_at = lambda: submission.client_left_at(self.core.clock.now())
         submission.job = job
         if due is None:
@@ -543,15 +544,15 @@
         self._unstarted[(submission.function, submission.priority)] += 1
         self.core.offer(submission.job)
 
-    def _take_back(self, submission: Submission) -> bool:
+    def _take_back(self, job: Job) -> bool:
         """Queue a background job again that the core gave up before it ran; False if that was its final answer.
 
         Its client was told that it is accepted and hears nothing more: it waits as long as it may.  Clients that
         wait for the same job are answered.
         """
         now = self.core.clock.now()
-        job, queue_entry = submission.job, submission.last_queue_entry
-        assert job is not None and queue_entry is not None
+        submission = job.front_context
+        assert isinstance(submission, Submission) and submission.last_queue_entry is not None
         attempts_left = job.max_calls - job.attempts_made
         if (not submission.background or submission.cancelled or self.stopping or now >= submission.expires_at
                 or attempts_left <= 0 or (job.fence is not None and not job.fence.holds())):
@@ -563,7 +564,7 @@
         self._answer_clients(submission, Answer(FinalStatus.REFUSED))
         submission.job = replace(job, max_calls=attempts_left, calls=[], open_calls=0, number=0, answered=False,
                                  give_up_reason="", balancer_budget_ms=0.0)
-        submission.queue_entry = self.queues.put_back(queue_entry, submission.expires_at)
+        submission.queue_entry = self.queues.put_back(submission.last_queue_entry, submission.expires_at)
         self._backoff.record_refusal(job.class_index, now, self._random.random())
         self._check_now.set()  # the time until the next offer is another one
         self._dispatch()
